--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -1,4 +1,4 @@
-//! Hosts applehoist instances behind the framed byte stream on standard input and output.
+//! Hosts elmtide instances behind the framed byte stream on standard input and output.
 
 mod settings;
 mod wire;
@@ -10,7 +10,7 @@
     match serve(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("applehoist-benchlink: {why}");
+            eprintln!("elmtide-drill: {why}");
             ExitCode::FAILURE
         }
     }
--- a/benchlink/src/settings.rs
+++ b/benchlink/src/settings.rs
@@ -1,6 +1,6 @@
 //! Start settings: from JSON text to the module's types. What is not told stays `None`.
 
-use applehoist::*;
+use elmtide::*;
 use serde_json::Value;
 
 fn number(at: &Value, key: &str) -> Option<f64> {
--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use applehoist::*;
+use elmtide::*;
 
 use crate::settings;
 
--- a/benchlink/tests/frames.rs
+++ b/benchlink/tests/frames.rs
@@ -8,7 +8,7 @@
     "Limits": {"RetryAfter": true, "MaxRetryAfterMs": 500}}"#;
 
 fn run(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_applehoist-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_elmtide-drill"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,11 @@
-//! applehoist makes the routing decisions of a two-tier cache: which edge cache takes a request, which parent
+//! elmtide makes the routing decisions of a two-tier cache: which edge cache takes a request, which parent
 //! supplies a miss, how long to wait, when to try again and when to refuse.
 //!
 //! A [`Router`] is a deterministic state machine: an [`Event`] and the time go in, [`Action`]s come out. It does
 //! no I/O, reads no clock and starts no thread; the front that embeds it does all of that.
 //!
 //! ```
-//! use applehoist::*;
+//! use elmtide::*;
 //!
 //! let class = ClassSettings { aim: 300.0, deadline: 3000.0, ..ClassSettings::default() };
 //! let settings = Settings {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,4 +1,4 @@
-//! Every decision of applehoist. Its types, events and actions are in src/interface.rs.
+//! Every decision of elmtide. Its types, events and actions are in src/interface.rs.
 //! One `Router` lives in each front. Reading order: constants, ring table, members and ramps, health, cold
 //! budgets, purges, request life cycle. Times are milliseconds; "work" is the sending time of an answer at
 //! full pace, so a member whose link fits n transfers does n ms of work in one.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small front for tests: one router, a clock and the actions of the last step.
 #![allow(dead_code)]
 
-use applehoist::*;
+use elmtide::*;
 
 pub const ZONE: ZoneId = ZoneId(7);
 pub const PARENT: KindId = KindId(1);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -1,8 +1,8 @@
 //! One test for each failure found, named for it.
 
 mod common;
-use applehoist::*;
 use common::*;
+use elmtide::*;
 
 #[test]
 fn a_failing_cache_is_left_and_comes_back_by_trials() {
--- a/tests/ring.rs
+++ b/tests/ring.rs
@@ -1,6 +1,6 @@
 //! The ring table alone.
 
-use applehoist::{MemberId, ObjectId, Ring};
+use elmtide::{MemberId, ObjectId, Ring};
 use std::collections::BTreeMap;
 
 fn members(weights: &[f64]) -> Vec<(MemberId, f64)> {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,8 +1,8 @@
 //! The five rules, each front alone.
 
 mod common;
-use applehoist::*;
 use common::*;
+use elmtide::*;
 
 #[test]
 fn an_unknown_class_is_answered_at_once() {
