--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -1,6 +1,5 @@
 //! Hosts elmtide instances behind the framed byte stream on standard input and output.
 
-mod settings;
 mod wire;
 
 use std::io::{self, Read, Write};
--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -3,8 +3,7 @@
 use std::collections::BTreeMap;
 
 use elmtide::*;
-
-use crate::settings;
+use elmtide_settings as settings;
 
 pub const HEADER: usize = 16;
 
--- /dev/null
+++ b/front/src/client/bus.rs
@@ -0,0 +1,191 @@
+//! Follows the event bus: reads on from the last event it has, for as long as the front runs.
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::Ordering::Relaxed;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam_channel::Sender;
+use elmtide::{Availability, CellId, Event, KindId, ListNews, Listing, ObjectId, PurgeGroup, ZoneId};
+
+use crate::exchange::{Input, MemberNews, MembersNews};
+use crate::memory::counters::Counters;
+use crate::memory::members::member_id;
+use crate::wire::bus::{self, Batch, Body, Server, State};
+
+/// What is announced counts as told after 7 s at the latest, heard or not. A read is held for less than that,
+/// so that a bus gone silent is noticed and asked again in time.
+const HOLD_MS: u64 = 2000;
+const SILENCE: Duration = Duration::from_millis(HOLD_MS + 700);
+const CONNECT: Duration = Duration::from_millis(500);
+const PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
+/// A response longer than this is none of the bus's.
+const LONGEST: usize = 4 << 20;
+
+/// Places of the settings' names, as the module counts them.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+impl Names {
+    fn zone(&self, name: &str) -> Option<ZoneId> {
+        let place = self.zones.iter().position(|z| z == name)?;
+        u8::try_from(place).ok().map(ZoneId)
+    }
+
+    fn kind(&self, name: &str) -> Option<KindId> {
+        let place = self.kinds.iter().position(|k| k == name)?;
+        u16::try_from(place).ok().map(KindId)
+    }
+
+    fn listing(&self, server: &Server) -> Result<(Listing, MemberNews), String> {
+        let zone = self.zone(&server.zone).ok_or_else(|| format!("zone {:?} is not known", server.zone))?;
+        let kind = self.kind(&server.kind).ok_or_else(|| format!("kind {:?} is not known", server.kind))?;
+        let availability = match server.state {
+            State::Active => Availability::Ready,
+            State::Leaving => Availability::Draining,
+            State::Left => Availability::Gone,
+        };
+        let member = member_id(&server.id);
+        let born = (server.started_ms > 0.0).then_some(server.started_ms);
+        let (weight, cell) = (server.weight, CellId(server.cell));
+        let listing = Listing { member, weight, zone, kind, cell, born, availability };
+        let gone = availability == Availability::Gone;
+        let addr = server.addr.parse().ok();
+        Ok((listing, MemberNews { member, name: server.id.as_str().into(), addr, born, gone }))
+    }
+
+    /// What an event of the bus means to the engine.
+    pub fn input(&self, event: &bus::Event) -> Input {
+        match event {
+            bus::Event::BanUrl { url, ts } => {
+                Input::Purged { object: Some(ObjectId(*url)), group: PurgeGroup(0), at: *ts }
+            }
+            bus::Event::BanTag { tag, ts } => {
+                Input::Purged { object: None, group: PurgeGroup(*tag), at: *ts }
+            }
+            bus::Event::Topology { full, servers } => {
+                let (mut entries, mut members) = (Vec::new(), Vec::new());
+                for server in servers {
+                    match self.listing(server) {
+                        Ok((listing, member)) => {
+                            entries.push(listing);
+                            members.push(member);
+                        }
+                        Err(why) => eprintln!("bus: {} is left out: {why}", server.id),
+                    }
+                }
+                let news = if *full { ListNews::Full } else { ListNews::Delta };
+                let event = Event::List { news, entries };
+                Input::Listed { news: MembersNews { full: *full, members }, event }
+            }
+        }
+    }
+}
+
+/// Hands the events on in their order, each once.
+pub struct Feed {
+    pub names: Names,
+    pub last: u64,
+    pub inputs: Sender<Input>,
+    pub counters: Arc<Counters>,
+}
+
+impl Feed {
+    /// False once nobody listens any more.
+    pub fn apply(&mut self, read: Result<(Batch, Vec<(u64, String)>), String>) -> Result<bool, String> {
+        let (batch, bad) = read?;
+        for (number, why) in bad {
+            eprintln!("bus: event {number} can't be used: {why}");
+        }
+        let mut events: BTreeMap<u64, bus::Event> = batch.events.into_iter().collect();
+        // What has been applied already comes again where an answer was lost.
+        let fresh = events.split_off(&(self.last + 1));
+        for (number, event) in fresh {
+            if self.inputs.send(self.names.input(&event)).is_err() {
+                return Ok(false);
+            }
+            self.counters.bus_events.fetch_add(1, Relaxed);
+            self.last = number;
+        }
+        self.last = self.last.max(batch.offset);
+        Ok(true)
+    }
+
+    /// Reads on for good.
+    pub fn follow(mut self, addr: SocketAddr) {
+        let mut pause = PAUSE.0;
+        loop {
+            let failed = match self.read_on(addr, &mut pause) {
+                Ok(()) => return,
+                Err(why) => why,
+            };
+            self.counters.bus_failures.fetch_add(1, Relaxed);
+            eprintln!("bus: {failed}; asking again in {} ms", pause.as_millis());
+            std::thread::sleep(pause);
+            pause = (pause * 2).min(PAUSE.1);
+        }
+    }
+
+    fn read_on(&mut self, addr: SocketAddr, pause: &mut Duration) -> Result<(), String> {
+        let failed = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
+        let mut stream = TcpStream::connect_timeout(&addr, CONNECT).map_err(failed("connect"))?;
+        let _ = stream.set_nodelay(true);
+        stream.set_read_timeout(Some(SILENCE)).map_err(failed("timeout"))?;
+        stream.set_write_timeout(Some(CONNECT)).map_err(failed("timeout"))?;
+        let host = addr.to_string();
+        let mut bytes = Vec::new();
+        loop {
+            let request = bus::read_request(&host, self.last, HOLD_MS);
+            stream.write_all(request.as_bytes()).map_err(failed("write"))?;
+            let (body, keep) = response(&mut stream, &mut bytes)?;
+            let value = serde_json::from_slice(&body).map_err(|e| format!("no JSON: {e}"))?;
+            if !self.apply(bus::batch(&value))? {
+                return Ok(());
+            }
+            *pause = PAUSE.0;
+            if !keep {
+                stream = TcpStream::connect_timeout(&addr, CONNECT).map_err(failed("connect"))?;
+                stream.set_read_timeout(Some(SILENCE)).map_err(failed("timeout"))?;
+                bytes.clear();
+            }
+        }
+    }
+}
+
+/// Reads one response: its body, and whether the connection goes on.
+fn response(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Result<(Vec<u8>, bool), String> {
+    let mut chunk = [0; 8192];
+    let mut ended = false;
+    loop {
+        if let Some(head) = bus::response_head(bytes)? {
+            let rest = &bytes[head.size..];
+            let whole = match head.body {
+                Body::Length(length) if rest.len() >= length => Some((rest[..length].to_vec(), length)),
+                Body::Length(_) => None,
+                Body::Chunked => bus::chunked(rest)?,
+                Body::UntilClose => ended.then(|| (rest.to_vec(), rest.len())),
+            };
+            if let Some((body, used)) = whole {
+                if head.status != 200 {
+                    return Err(format!("status {}", head.status));
+                }
+                bytes.drain(..head.size + used);
+                return Ok((body, head.keep && !ended));
+            }
+        }
+        if ended {
+            return Err("closed within a response".into());
+        }
+        if bytes.len() > LONGEST {
+            return Err("a response is too long".into());
+        }
+        let got = stream.read(&mut chunk).map_err(|e| format!("read: {e}"))?;
+        ended = got == 0;
+        bytes.extend_from_slice(&chunk[..got]);
+    }
+}
--- /dev/null
+++ b/front/src/client/connection.rs
@@ -0,0 +1,302 @@
+//! One connection to a cache node: a thread that writes and one that reads, and the table of what is open.
+
+use std::collections::HashMap;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::sync::atomic::Ordering::Relaxed;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{bounded, Receiver, Sender};
+use elmtide::{MemberId, Note, Outcome};
+
+use crate::exchange::{AttemptKey, Copy, Input, Progress, Returned, Token};
+use crate::lifecycle::spawn;
+use crate::memory::counters::Counters;
+use crate::wire::lines::{Answer, Word, LONGEST_LINE};
+
+/// Frames that wait for the writer at most.
+const QUEUE: usize = 512;
+/// A peer that takes in nothing for so long is given up; what it was being sent is not whole.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+/// An answer to what was given up may still cross; its id is kept free of others for so long.
+const FORGET_GIVEN_UP: Duration = Duration::from_secs(10);
+/// An attempt given up after so long, with nothing read since it was written, shows a connection gone silent.
+const SILENT: Duration = Duration::from_millis(700);
+
+/// What an answer on this connection belongs to.
+#[derive(Clone, Copy, Debug)]
+enum Purpose {
+    Attempt(AttemptKey),
+    Probe(MemberId),
+    GivenUp,
+}
+
+#[derive(Debug)]
+struct Slot {
+    purpose: Purpose,
+    progress: Progress,
+    since: Instant,
+}
+
+#[derive(Debug)]
+struct Table {
+    slots: HashMap<Token, Slot>,
+    closed: bool,
+    /// Takes nothing new; closed once nothing is open.
+    retired: bool,
+    last_read: Instant,
+    last_used: Instant,
+}
+
+/// The part of a connection that the pool and both threads share.
+#[derive(Debug)]
+pub struct Connection {
+    table: Mutex<Table>,
+    frames: Sender<(Token, Vec<u8>)>,
+    stream: Mutex<Option<Arc<TcpStream>>>,
+}
+
+pub struct Peer {
+    pub addr: SocketAddr,
+    pub connect_timeout: Duration,
+}
+
+impl Connection {
+    pub fn open(peer: Peer, inputs: Sender<Input>, counters: Arc<Counters>) -> io::Result<Arc<Connection>> {
+        let (frames, queue) = bounded(QUEUE);
+        let now = Instant::now();
+        let table =
+            Table { slots: HashMap::new(), closed: false, retired: false, last_read: now, last_used: now };
+        let connection = Arc::new(Connection { table: Mutex::new(table), frames, stream: Mutex::new(None) });
+        let own = connection.clone();
+        spawn("node-writer", move || {
+            // A panic stops at the connection: what is open on it still ends.
+            let run = || own.write(&peer, &queue, &inputs, &counters);
+            if catch_unwind(AssertUnwindSafe(run)).is_err() {
+                eprintln!("node {}: connection dropped after a panic", peer.addr);
+            }
+            own.close(&inputs);
+        })?;
+        Ok(connection)
+    }
+
+    fn table(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Queues a request; false if this connection can't take it now.
+    pub fn try_send(
+        &self,
+        tag: &Token,
+        purpose: Result<AttemptKey, MemberId>,
+        frame: Vec<u8>,
+        streams: usize,
+    ) -> bool {
+        let mut table = self.table();
+        let now = Instant::now();
+        let open = table.slots.values().filter(|s| !matches!(s.purpose, Purpose::GivenUp)).count();
+        if table.closed || table.retired || open >= streams || table.slots.contains_key(tag) {
+            return false;
+        }
+        if self.frames.try_send((tag.clone(), frame)).is_err() {
+            return false;
+        }
+        let purpose = purpose.map_or_else(Purpose::Probe, Purpose::Attempt);
+        table.slots.insert(tag.clone(), Slot { purpose, progress: Progress::NotConnected, since: now });
+        table.last_used = now;
+        true
+    }
+
+    /// Gives an attempt up; tells how far it had come, `None` if it is not open here.
+    pub fn give_up(&self, tag: &Token, key: AttemptKey, never_mind: Vec<u8>) -> Option<Progress> {
+        let mut table = self.table();
+        let last_read = table.last_read;
+        let slot = table.slots.get_mut(tag)?;
+        if !matches!(slot.purpose, Purpose::Attempt(open) if open == key) {
+            return None;
+        }
+        let progress = slot.progress;
+        if progress == Progress::NotConnected {
+            table.slots.remove(tag);
+            return Some(progress);
+        }
+        let silent = slot.since.elapsed() > SILENT && last_read < slot.since;
+        (slot.purpose, slot.since) = (Purpose::GivenUp, Instant::now());
+        // A machine that has vanished leaves open connections silent for good: the next attempt gets a new one.
+        table.retired |= silent;
+        let _ = self.frames.try_send((tag.clone(), never_mind));
+        Some(progress)
+    }
+
+    /// Takes nothing new from now on.
+    pub fn retire(&self) {
+        self.table().retired = true;
+    }
+
+    /// Closes it if it has been idle for so long, or if it is retired and idle; true if it is closed.
+    pub fn sweep(&self, idle: Duration) -> bool {
+        let mut table = self.table();
+        let given_up = |s: &Slot| matches!(s.purpose, Purpose::GivenUp);
+        table.slots.retain(|_, s| !given_up(s) || s.since.elapsed() < FORGET_GIVEN_UP);
+        let open = table.slots.values().any(|s| !given_up(s));
+        if !table.closed && !open && (table.retired || table.last_used.elapsed() > idle) {
+            table.closed = true;
+            drop(table);
+            self.shut();
+            return true;
+        }
+        table.closed
+    }
+
+    fn shut(&self) {
+        if let Some(stream) = self.stream.lock().unwrap_or_else(|p| p.into_inner()).take() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        // Wakes a writer that waits for frames; one whose queue is full is awake.
+        if let Some(wake) = Token::new(b"-") {
+            let _ = self.frames.try_send((wake, Vec::new()));
+        }
+    }
+
+    /// Ends the connection and all that is open on it.
+    fn close(&self, inputs: &Sender<Input>) {
+        let slots = {
+            let mut table = self.table();
+            table.closed = true;
+            std::mem::take(&mut table.slots)
+        };
+        self.shut();
+        for slot in slots.into_values() {
+            let input = match slot.purpose {
+                Purpose::Attempt(key) => Input::Returned { key, returned: Returned::Broke(slot.progress) },
+                Purpose::Probe(member) => {
+                    Input::Probed { member, outcome: slot.progress.broken(), latency: 0.0 }
+                }
+                Purpose::GivenUp => continue,
+            };
+            let _ = inputs.send(input);
+        }
+    }
+
+    fn write(
+        self: &Arc<Self>,
+        peer: &Peer,
+        queue: &Receiver<(Token, Vec<u8>)>,
+        inputs: &Sender<Input>,
+        counters: &Counters,
+    ) {
+        let Ok(stream) = TcpStream::connect_timeout(&peer.addr, peer.connect_timeout) else { return };
+        counters.node_connections.fetch_add(1, Relaxed);
+        let _ = stream.set_nodelay(true);
+        let _ = stream.set_write_timeout(Some(WRITE_TIMEOUT));
+        let stream = Arc::new(stream);
+        *self.stream.lock().unwrap_or_else(|p| p.into_inner()) = Some(stream.clone());
+        let (own, input, reader) = (self.clone(), inputs.clone(), stream.clone());
+        let started = spawn("node-reader", move || {
+            let run = || own.read(&reader, &input);
+            if catch_unwind(AssertUnwindSafe(run)).is_err() {
+                eprintln!("node connection: reader stopped after a panic");
+            }
+            own.close(&input);
+        });
+        if started.is_err() {
+            return;
+        }
+        while let Ok((tag, frame)) = queue.recv() {
+            {
+                let mut table = self.table();
+                if table.closed {
+                    return;
+                }
+                let Some(slot) = table.slots.get_mut(&tag) else { continue };
+                if slot.progress == Progress::NotConnected {
+                    slot.progress = Progress::PartlyWritten;
+                }
+            }
+            if (&*stream).write_all(&frame).is_err() {
+                return;
+            }
+            let mut table = self.table();
+            if let Some(slot) = table.slots.get_mut(&tag).filter(|s| s.progress == Progress::PartlyWritten) {
+                slot.progress = Progress::Whole;
+            }
+        }
+    }
+
+    fn read(&self, stream: &TcpStream, inputs: &Sender<Input>) {
+        let mut reader = BufReader::with_capacity(16 * 1024, stream);
+        let mut line = Vec::new();
+        loop {
+            line.clear();
+            let got = (&mut reader).take(LONGEST_LINE as u64).read_until(b'\n', &mut line);
+            if !matches!(got, Ok(n) if n > 0) || line.last() != Some(&b'\n') {
+                return;
+            }
+            let Ok(answer) = Answer::parse(&line) else {
+                eprintln!("node connection: closed over an answer that can't be read");
+                return;
+            };
+            self.table().last_read = Instant::now();
+            let Some(tag) = Token::new(answer.id.as_bytes()) else { return };
+            // From here on the answer is cut if it is not whole.
+            if let Some(slot) = self.table().slots.get_mut(&tag) {
+                slot.progress = Progress::PartOfAnswer;
+            }
+            let mut bytes = vec![0; answer.length];
+            let mut end = [0; 2];
+            if reader.read_exact(&mut bytes).is_err()
+                || reader.read_exact(&mut end).is_err()
+                || end != *b"\r\n"
+            {
+                return;
+            }
+            let slot = {
+                let mut table = self.table();
+                (table.last_read, table.last_used) = (Instant::now(), Instant::now());
+                table.slots.remove(&tag)
+            };
+            let Some(slot) = slot else { continue };
+            let input = match slot.purpose {
+                Purpose::GivenUp => continue,
+                Purpose::Probe(member) => {
+                    let outcome = if answer.word == Word::Pong { Outcome::Ok } else { Outcome::Error };
+                    Input::Probed { member, outcome, latency: slot.since.elapsed().as_secs_f64() * 1000.0 }
+                }
+                Purpose::Attempt(key) => Input::Returned { key, returned: returned(&answer, bytes) },
+            };
+            if inputs.send(input).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// What an answer means to the module.
+fn returned(answer: &Answer<'_>, bytes: Vec<u8>) -> Returned {
+    let note = match answer.field("remark") {
+        Some("local") => Note::Hit,
+        Some("pulled") => Note::Filled,
+        Some("pulled_far") => Note::FilledByOrigin,
+        Some("rode") => Note::Joined,
+        Some("expired") => Note::Stale,
+        Some("turned_away") => Note::SourceRefused,
+        Some("cut_off") => Note::SourceLost,
+        Some("not_there") => Note::SourceLacks,
+        Some("no_place") => Note::NoFillPlace,
+        Some("far_fault") => Note::OriginFailed,
+        _ => Note::Absent,
+    };
+    let outcome = match answer.word {
+        Word::Hit | Word::Valid => Outcome::Ok,
+        Word::None => Outcome::Miss,
+        Word::Shed => Outcome::Full,
+        Word::Late => Outcome::Moot,
+        Word::Fault | Word::Pong | Word::Sick => Outcome::Error,
+    };
+    let digest = answer.field("digest").and_then(|d| Token::new(d.as_bytes()));
+    let client_has_it = answer.word == Word::Valid;
+    let copy = (outcome == Outcome::Ok).then_some(Copy { bytes, digest, client_has_it });
+    Returned::Answered { outcome, note, copy }
+}
--- /dev/null
+++ b/front/src/client/mod.rs
@@ -0,0 +1,5 @@
+//! Sends attempts on to cache nodes, and follows the event bus.
+
+pub mod bus;
+pub mod connection;
+pub mod pool;
--- /dev/null
+++ b/front/src/client/pool.rs
@@ -0,0 +1,142 @@
+//! The pooled connections to cache nodes, by member and not by address: an address may be held by a new member
+//! while connections to the one that held it before are still open.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam_channel::Sender;
+use elmtide::{MemberId, Ms};
+
+use crate::client::connection::{Connection, Peer};
+use crate::exchange::*;
+use crate::memory::counters::Counters;
+use crate::memory::members::Members;
+use crate::wire::lines::{never_mind, there, Want};
+
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    pub connect_timeout: Duration,
+    /// Idle connections are closed a good while before the other side does it, so that no request crosses that.
+    pub idle: Duration,
+    pub streams_per_connection: usize,
+    pub connections: usize,
+}
+
+pub struct Pool {
+    limits: Limits,
+    members: Members,
+    born: BTreeMap<MemberId, Option<Ms>>,
+    connections: BTreeMap<MemberId, Vec<Arc<Connection>>>,
+    out: HashMap<AttemptKey, (Arc<Connection>, Token)>,
+    probes: u64,
+    inputs: Sender<Input>,
+    counters: Arc<Counters>,
+}
+
+impl Pool {
+    pub fn new(limits: Limits, inputs: Sender<Input>, counters: Arc<Counters>) -> Pool {
+        Pool {
+            limits,
+            members: Members::default(),
+            born: BTreeMap::new(),
+            connections: BTreeMap::new(),
+            out: HashMap::new(),
+            probes: 0,
+            inputs,
+            counters,
+        }
+    }
+
+    /// Puts a frame on a connection to this member, an open one or a new one.
+    fn dispatch(
+        &mut self,
+        member: MemberId,
+        tag: &Token,
+        purpose: Result<AttemptKey, MemberId>,
+        frame: Vec<u8>,
+    ) -> Option<Arc<Connection>> {
+        let addr = self.members.get(member).and_then(|m| m.addr)?;
+        let streams = self.limits.streams_per_connection;
+        let open = self.connections.entry(member).or_default();
+        if let Some(found) = open.iter().find(|c| c.try_send(tag, purpose, frame.clone(), streams)) {
+            return Some(found.clone());
+        }
+        if self.connections.values().map(Vec::len).sum::<usize>() >= self.limits.connections {
+            return None;
+        }
+        let peer = Peer { addr, connect_timeout: self.limits.connect_timeout };
+        let connection = Connection::open(peer, self.inputs.clone(), self.counters.clone()).ok()?;
+        connection.try_send(tag, purpose, frame, streams);
+        self.connections.entry(member).or_default().push(connection.clone());
+        Some(connection)
+    }
+}
+
+impl Upstream for Pool {
+    fn send(&mut self, order: &Order) -> Result<(), Progress> {
+        let passed = &order.passed;
+        let source = order.source.and_then(|id| self.members.get(id)).map(|m| m.name.clone());
+        let want = Want {
+            id: passed.job.as_str(),
+            profile: &passed.class_name,
+            thing: passed.item.as_str(),
+            nth: passed.part.as_str(),
+            max: order.timeout.max(1.0) as u64,
+            parent: source.as_deref(),
+            shelf: order.rank,
+            accept: order.max_age.map(|age| age.max(1.0) as u64),
+            ride: order.mode.join,
+            have_only: order.mode.source_holds_only,
+            through: order.mode.no_copy_at_parent,
+            update: order.mode.renew,
+            got: passed.seen.as_ref().map(Token::as_str),
+            body: &passed.body,
+        };
+        let frame = want.encode();
+        let connection = self.dispatch(order.cache, &passed.job, Ok(order.key), frame);
+        let connection = connection.ok_or(Progress::NotConnected)?;
+        self.out.insert(order.key, (connection, passed.job.clone()));
+        Ok(())
+    }
+
+    fn ended(&mut self, key: AttemptKey) {
+        self.out.remove(&key);
+    }
+
+    fn give_up(&mut self, key: AttemptKey) -> Option<Progress> {
+        let (connection, tag) = self.out.remove(&key)?;
+        connection.give_up(&tag, key, never_mind(tag.as_str()))
+    }
+
+    fn probe(&mut self, member: MemberId) -> bool {
+        self.probes += 1;
+        let tag = Token::new(format!("p{:015x}", self.probes).as_bytes());
+        tag.is_some_and(|tag| self.dispatch(member, &tag, Err(member), there(tag.as_str())).is_some())
+    }
+
+    fn learn(&mut self, news: &MembersNews) {
+        if news.full {
+            self.members.ids().into_iter().for_each(|id| self.members.set_gone(id));
+        }
+        for member in &news.members {
+            let before = self.members.get(member.member).map(|m| m.addr);
+            let born = self.born.insert(member.member, member.born);
+            // A new process or address: what is open leads to the one before.
+            let other = before.is_some_and(|addr| addr != member.addr)
+                || born.is_some_and(|born| born != member.born);
+            if other || member.gone {
+                self.connections.get(&member.member).into_iter().flatten().for_each(|c| c.retire());
+            }
+            self.members.learn(member);
+        }
+    }
+
+    fn sweep(&mut self) {
+        let idle = self.limits.idle;
+        self.connections.retain(|_, open| {
+            open.retain(|c| !c.sweep(idle));
+            !open.is_empty()
+        });
+    }
+}
--- /dev/null
+++ b/front/src/engine.rs
@@ -0,0 +1,278 @@
+//! The engine: one thread that owns the decisions. Events come in by a channel, actions go out, timers are the
+//! deadline of the receive. It does no I/O and never blocks on a peer.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::sync::atomic::Ordering::Relaxed;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{Receiver, RecvTimeoutError};
+use elmtide::{Action, Event, Ms, Outcome, Request, RequestId, Router, Settings, Token, Try};
+
+use crate::exchange::*;
+use crate::lifecycle::clock;
+use crate::memory::counters::Counters;
+use crate::memory::exchanges::Exchanges;
+
+/// After this long past a deadline the engine answers by itself, whatever the module does.
+const BACKSTOP: Ms = 15.0;
+/// For so long after SIGTERM requests are still taken; what comes later must not be left unanswered by a kill.
+const TAKE_AFTER_TERM: Ms = 550.0;
+const SWEEP: Ms = 1000.0;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Alarm {
+    Module(u64),
+    Attempt(u32, u8),
+    Deadline(u32),
+    Sweep,
+}
+
+/// A moment as a number that can be ordered: microseconds of the Unix clock.
+fn micros(at: Ms) -> u64 {
+    (at * 1000.0).max(0.0) as u64
+}
+
+pub struct Engine<U> {
+    router: Router,
+    upstream: U,
+    exchanges: Exchanges,
+    alarms: BinaryHeap<Reverse<(u64, Alarm)>>,
+    /// Ends of attempts that were found here and not by a connection.
+    ended: VecDeque<(AttemptKey, Outcome)>,
+    unreached: VecDeque<elmtide::MemberId>,
+    actions: Vec<Action>,
+    counters: Arc<Counters>,
+    wait_ms: Option<u64>,
+    draining_since: Option<Ms>,
+    now: Ms,
+}
+
+impl<U: Upstream> Engine<U> {
+    pub fn new(settings: Settings, seed: u64, upstream: U, counters: Arc<Counters>) -> Engine<U> {
+        let now = clock::unix_ms();
+        let mut actions = Vec::new();
+        let wait_ms = settings.max_retry_after.filter(|_| settings.retry_after).map(|ms| ms as u64);
+        let router = Router::new(settings, seed, now, &mut actions);
+        let alarms = BinaryHeap::from([Reverse((micros(now + SWEEP), Alarm::Sweep))]);
+        Engine {
+            router,
+            upstream,
+            exchanges: Exchanges::default(),
+            alarms,
+            ended: VecDeque::new(),
+            unreached: VecDeque::new(),
+            actions,
+            counters,
+            wait_ms,
+            draining_since: None,
+            now,
+        }
+    }
+
+    /// Runs until it is told to stop.
+    pub fn run(mut self, inputs: &Receiver<Input>) {
+        loop {
+            let due = self.alarms.peek().map_or(u64::MAX, |Reverse((at, _))| *at);
+            let left = due.saturating_sub(micros(clock::unix_ms()));
+            match inputs.recv_deadline(Instant::now() + Duration::from_micros(left.min(1_000_000))) {
+                Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => return,
+                Ok(input) => self.take(input),
+                Err(RecvTimeoutError::Timeout) => self.tick(),
+            }
+            self.ring();
+        }
+    }
+
+    /// The clock may be set back, the module's time may not.
+    fn tick(&mut self) {
+        self.now = clock::unix_ms().max(self.now);
+    }
+
+    pub fn take(&mut self, input: Input) {
+        self.tick();
+        match input {
+            Input::Taken(incoming) => self.on_taken(incoming),
+            Input::Abandoned(id) => {
+                if let Some(exchange) = self.exchanges.get_mut(id) {
+                    if exchange.abandon() {
+                        self.counters.abandoned.fetch_add(1, Relaxed);
+                    }
+                    self.tell(Event::Expired { id });
+                    self.exchanges.settle(id);
+                }
+            }
+            Input::Returned { key, returned } => match returned {
+                Returned::Broke(progress) => self.on_end(key, progress.broken(), elmtide::Note::Absent, None),
+                Returned::Answered { outcome, note, copy } => self.on_end(key, outcome, note, copy),
+            },
+            Input::Probed { member, outcome, latency } => {
+                self.tell(Event::Probed { member, outcome, latency })
+            }
+            Input::Listed { news, event } => {
+                self.upstream.learn(&news);
+                self.tell(event);
+            }
+            Input::Purged { object, group, at } => {
+                let ago = (self.now - at).max(0.0);
+                self.tell(Event::Purged { object, group, ago });
+            }
+            Input::Drain => self.draining_since = self.draining_since.or(Some(self.now)),
+            Input::Stop => {}
+        }
+        self.settle_ended();
+    }
+
+    fn on_taken(&mut self, incoming: Incoming) {
+        self.counters.taken.fetch_add(1, Relaxed);
+        let late = self.draining_since.is_some_and(|since| self.now - since > TAKE_AFTER_TERM);
+        let left = incoming.deadline - self.now;
+        if late || self.exchanges.is_full() {
+            self.counters.refused.fetch_add(1, Relaxed);
+            return incoming.responder.answer(Answer::Refused { wait_ms: self.wait_ms });
+        }
+        let request = Request {
+            id: incoming.id,
+            class: incoming.class,
+            object: incoming.object,
+            part: incoming.part,
+            group: incoming.group,
+            left,
+            size_kb: incoming.size_kb,
+            write: false, // the class tells
+        };
+        self.alarms.push(Reverse((micros(incoming.deadline + BACKSTOP), Alarm::Deadline(incoming.id.0))));
+        self.exchanges.open(incoming);
+        self.tell(Event::Request(request));
+    }
+
+    /// An attempt has ended, whoever found it out.
+    fn on_end(&mut self, key: AttemptKey, outcome: Outcome, note: elmtide::Note, copy: Option<Copy>) {
+        let Some(exchange) = self.exchanges.get_mut(key.id) else { return };
+        let Some(sent) = exchange.end_attempt(key.attempt) else { return };
+        self.upstream.ended(key);
+        if outcome == Outcome::Ok {
+            let copy = copy.unwrap_or(Copy { bytes: Vec::new(), digest: None, client_has_it: false });
+            if exchange.answer(Answer::Served(copy)) {
+                self.counters.served.fetch_add(1, Relaxed);
+            }
+        }
+        self.counters.outcome(outcome);
+        let settled = exchange.is_answered();
+        let (id, attempt) = (key.id, key.attempt);
+        let latency = self.now - sent;
+        self.tell(Event::Reply { id, attempt, outcome, latency, settled, note });
+        self.exchanges.settle(id);
+    }
+
+    fn settle_ended(&mut self) {
+        while let Some(member) = self.unreached.pop_front() {
+            self.tell(Event::Probed { member, outcome: Outcome::ConnectFailed, latency: 0.0 });
+        }
+        while let Some((key, outcome)) = self.ended.pop_front() {
+            self.on_end(key, outcome, elmtide::Note::Absent, None);
+        }
+    }
+
+    /// Gives the module an event and does what it says.
+    fn tell(&mut self, event: Event) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.router.handle(self.now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.act(action);
+        }
+        self.actions = actions;
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Serve { id, cache, source, rank, max_age, mode, timeout } => {
+                let Some(exchange) = self.exchanges.get_mut(id) else { return };
+                let attempt = exchange.begin_attempt(self.now);
+                let key = AttemptKey { id, attempt };
+                let passed = exchange.passed.clone();
+                let timeout = timeout.min(exchange.deadline - self.now);
+                if timeout <= 0.0 {
+                    self.ended.push_back((key, Outcome::Moot));
+                    return;
+                }
+                self.alarms.push(Reverse((micros(self.now + timeout), Alarm::Attempt(id.0, attempt.0))));
+                self.counters.sent.fetch_add(1, Relaxed);
+                let source = Some(source).filter(|s| *s != cache);
+                let order = Order { key, passed, cache, source, rank, max_age, mode, timeout };
+                if let Err(progress) = self.upstream.send(&order) {
+                    self.ended.push_back((key, progress.broken()));
+                }
+            }
+            Action::Cancel { id, attempt } => {
+                self.give_up(AttemptKey { id, attempt }, |_| Outcome::Cancelled)
+            }
+            Action::Refuse { id, retry_after } => {
+                let wait_ms = retry_after.map(|ms| ms.max(0.0) as u64);
+                if self.exchanges.answer(id, Answer::Refused { wait_ms }) {
+                    self.counters.refused.fetch_add(1, Relaxed);
+                }
+            }
+            Action::Fail { id } => {
+                if self.exchanges.answer(id, Answer::Failed) {
+                    self.counters.failed.fetch_add(1, Relaxed);
+                }
+            }
+            Action::SetTimer { delay, token } => {
+                self.alarms.push(Reverse((micros(self.now + delay.max(0.0)), Alarm::Module(token.0))));
+            }
+            Action::Probe { member } => {
+                if !self.upstream.probe(member) {
+                    self.unreached.push_back(member);
+                }
+            }
+            // The event bus is followed from the start.
+            Action::Subscribe => {}
+        }
+    }
+
+    fn give_up(&mut self, key: AttemptKey, outcome: impl FnOnce(Progress) -> Outcome) {
+        let out = self.exchanges.get_mut(key.id).is_some_and(|e| e.is_out(key.attempt));
+        if let Some(progress) = out.then(|| self.upstream.give_up(key)).flatten() {
+            self.ended.push_back((key, outcome(progress)));
+        }
+    }
+
+    /// Whatever is due.
+    fn ring(&mut self) {
+        loop {
+            self.tick();
+            let now = micros(self.now);
+            let Some(Reverse((at, alarm))) = self.alarms.peek().copied() else { return };
+            if at > now {
+                return;
+            }
+            self.alarms.pop();
+            match alarm {
+                Alarm::Module(token) => self.tell(Event::Timer { token: Token(token) }),
+                Alarm::Attempt(id, attempt) => {
+                    let key = AttemptKey { id: RequestId(id), attempt: Try(attempt) };
+                    self.give_up(key, Progress::timed_out);
+                }
+                Alarm::Deadline(id) => self.past_deadline(RequestId(id)),
+                Alarm::Sweep => {
+                    self.upstream.sweep();
+                    self.alarms.push(Reverse((micros(self.now + SWEEP), Alarm::Sweep)));
+                    let open = self.exchanges.unanswered() as u64;
+                    self.counters.open.store(open, Relaxed);
+                }
+            }
+            self.settle_ended();
+        }
+    }
+
+    fn past_deadline(&mut self, id: RequestId) {
+        if self.exchanges.answer(id, Answer::Failed) {
+            eprintln!("request {} was still open past its deadline: failed", id.0);
+            self.counters.failed.fetch_add(1, Relaxed);
+            self.tell(Event::Expired { id });
+            self.exchanges.settle(id);
+        }
+    }
+}
--- /dev/null
+++ b/front/src/exchange.rs
@@ -0,0 +1,241 @@
+//! The exchange: the one place where the side that takes requests in and the side that sends them on meet.
+//! Neither knows the other; both know these types. An exchange has an identity, an absolute deadline, the
+//! attempts that are out and exactly one final answer.
+
+use std::sync::Arc;
+
+use crossbeam_channel::{Sender, TrySendError};
+use elmtide::{ClassId, FillMode, MemberId, Ms, Note, ObjectId, Outcome, PurgeGroup, RequestId, Try};
+
+/// A word of at most 64 letters, digits, `-`, `_` and `.`: it can stand in a line of words as it came.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Token(Box<str>);
+
+impl Token {
+    pub fn new(bytes: &[u8]) -> Option<Token> {
+        let plain = |b: &u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+        let fits = (1..=64).contains(&bytes.len()) && bytes.iter().all(plain);
+        let text = std::str::from_utf8(bytes).ok().filter(|_| fits)?;
+        Some(Token(text.into()))
+    }
+
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+/// What goes on unchanged, as the bytes that came.
+#[derive(Debug)]
+pub struct Passed {
+    pub job: Token,
+    pub class_name: Arc<str>,
+    pub item: Token,
+    pub part: Token,
+    pub seen: Option<Token>,
+    pub body: Vec<u8>,
+}
+
+/// A request that has come whole, with the fields that decisions need.
+#[derive(Debug)]
+pub struct Incoming {
+    pub id: RequestId,
+    pub class: ClassId,
+    pub object: ObjectId,
+    pub part: u32,
+    pub group: PurgeGroup,
+    pub size_kb: Option<f64>,
+    /// Unix time at which the client gives up.
+    pub deadline: Ms,
+    pub passed: Arc<Passed>,
+    pub responder: Responder,
+}
+
+/// The one final answer of an exchange.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Answer {
+    Served(Copy),
+    /// Nothing ran, or trying again does no harm; the client may come back after so many milliseconds.
+    Refused {
+        wait_ms: Option<u64>,
+    },
+    Failed,
+}
+
+/// What a cache node answered with.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Copy {
+    pub bytes: Vec<u8>,
+    /// The tag of this copy.
+    pub digest: Option<Token>,
+    /// The copy that the client has is the one: there are no bytes.
+    pub client_has_it: bool,
+}
+
+#[derive(Debug)]
+pub struct Delivery {
+    /// Which of the connection's requests is answered.
+    pub slot: u16,
+    pub answer: Answer,
+}
+
+/// Takes the final answer to whoever asked. It is used up by answering, so there is never a second one; dropped
+/// without one, it answers 'failed', so there is always a first.
+#[derive(Debug)]
+pub struct Responder {
+    slot: u16,
+    to: Option<Sender<Delivery>>,
+}
+
+impl Responder {
+    pub fn new(slot: u16, to: Sender<Delivery>) -> Responder {
+        Responder { slot, to: Some(to) }
+    }
+
+    /// Never blocks: the channel has room for every request that a connection may have open. Where it is full
+    /// or closed, the connection is past help.
+    pub fn answer(mut self, answer: Answer) {
+        self.send(answer);
+    }
+
+    /// The client has left: no answer is owed.
+    pub fn discard(mut self) {
+        self.to = None;
+    }
+
+    fn send(&mut self, answer: Answer) {
+        if let Some(to) = self.to.take() {
+            match to.try_send(Delivery { slot: self.slot, answer }) {
+                Ok(()) | Err(TrySendError::Disconnected(_)) => {}
+                Err(TrySendError::Full(_)) => eprintln!("answer dropped: queue of a client is full"),
+            }
+        }
+    }
+}
+
+impl Drop for Responder {
+    fn drop(&mut self) {
+        self.send(Answer::Failed);
+    }
+}
+
+/// Names one attempt of one exchange.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct AttemptKey {
+    pub id: RequestId,
+    pub attempt: Try,
+}
+
+/// What the client side is to send, and to whom.
+#[derive(Debug)]
+pub struct Order {
+    pub key: AttemptKey,
+    pub passed: Arc<Passed>,
+    pub cache: MemberId,
+    /// Who supplies a miss; none for no fill.
+    pub source: Option<MemberId>,
+    pub rank: u8,
+    pub max_age: Option<Ms>,
+    pub mode: FillMode,
+    pub timeout: Ms,
+}
+
+/// How far an attempt had come when its connection failed it: this decides whether a write may be sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    NotConnected,
+    PartlyWritten,
+    Whole,
+    PartOfAnswer,
+}
+
+impl Progress {
+    /// What is not written whole can't have run: a cache node acts on whole requests only.
+    pub fn may_have_run(self) -> bool {
+        matches!(self, Progress::Whole | Progress::PartOfAnswer)
+    }
+
+    pub fn broken(self) -> Outcome {
+        if self.may_have_run() {
+            Outcome::Reset
+        } else {
+            Outcome::ConnectFailed
+        }
+    }
+
+    pub fn timed_out(self) -> Outcome {
+        if self.may_have_run() {
+            Outcome::Timeout
+        } else {
+            Outcome::ConnectFailed
+        }
+    }
+}
+
+/// How an attempt came back.
+#[derive(Debug)]
+pub enum Returned {
+    Answered { outcome: Outcome, note: Note, copy: Option<Copy> },
+    Broke(Progress),
+}
+
+/// The client side as the engine sees it. No call may block.
+pub trait Upstream {
+    /// Sends an attempt; its end comes back as an event, unless there is no way to send it at all.
+    fn send(&mut self, order: &Order) -> Result<(), Progress>;
+    /// The attempt has come back.
+    fn ended(&mut self, key: AttemptKey);
+    /// Gives an attempt up and tells how far it had come; `None` if its end is on the way already.
+    fn give_up(&mut self, key: AttemptKey) -> Option<Progress>;
+    /// False if there is no way to the member.
+    fn probe(&mut self, member: MemberId) -> bool;
+    fn learn(&mut self, news: &MembersNews);
+    /// Closes what has been idle for long.
+    fn sweep(&mut self);
+}
+
+/// Where the members of a list are to be found.
+#[derive(Clone, Debug, Default)]
+pub struct MembersNews {
+    /// Members that are not named have gone.
+    pub full: bool,
+    pub members: Vec<MemberNews>,
+}
+
+#[derive(Clone, Debug)]
+pub struct MemberNews {
+    pub member: MemberId,
+    pub name: Arc<str>,
+    pub addr: Option<std::net::SocketAddr>,
+    pub born: Option<Ms>,
+    pub gone: bool,
+}
+
+/// What comes in at the engine.
+#[derive(Debug)]
+pub enum Input {
+    Taken(Incoming),
+    /// The client has stopped waiting.
+    Abandoned(RequestId),
+    Returned {
+        key: AttemptKey,
+        returned: Returned,
+    },
+    Probed {
+        member: MemberId,
+        outcome: Outcome,
+        latency: Ms,
+    },
+    Listed {
+        news: MembersNews,
+        event: elmtide::Event,
+    },
+    /// Made at this Unix time.
+    Purged {
+        object: Option<ObjectId>,
+        group: PurgeGroup,
+        at: Ms,
+    },
+    /// Finish what is open, refuse what comes late.
+    Drain,
+    Stop,
+}
--- /dev/null
+++ b/front/src/lifecycle/serve.rs
@@ -0,0 +1,98 @@
+//! Runs a front: start in order, ready, drain at SIGTERM, stop.
+
+use std::net::TcpListener;
+use std::sync::atomic::Ordering::Relaxed;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{bounded, tick, Receiver};
+use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::iterator::Signals;
+
+use crate::client::bus::Feed;
+use crate::client::pool::Pool;
+use crate::engine::Engine;
+use crate::exchange::Input;
+use crate::lifecycle::{config::Config, spawn};
+use crate::memory::counters::Counters;
+use crate::server::{fastcgi, Intake};
+
+/// Events that wait for the engine at most; whoever brings more waits.
+const EVENTS: usize = 8192;
+/// After SIGTERM new connections come for up to 0.4 s and requests for 0.2 s: the front stays at least so long.
+const STAY: Duration = Duration::from_millis(1000);
+
+pub fn serve(config: Config) -> Result<(), String> {
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGUSR1]).map_err(|e| format!("signals: {e}"))?;
+    let counters = Arc::new(Counters::default());
+    let (inputs, events) = bounded(EVENTS);
+    let listener =
+        TcpListener::bind(config.listen).map_err(|e| format!("listen on {}: {e}", config.listen))?;
+
+    // The list of the start goes in before the first request can.
+    let mut feed = Feed { names: config.names, last: 0, inputs: inputs.clone(), counters: counters.clone() };
+    let pool = Pool::new(config.pool, inputs.clone(), counters.clone());
+    let engine = Engine::new(config.settings, config.seed, pool, counters.clone());
+    let stopped = start_engine(engine, events)?;
+    feed.apply(Ok((config.known, Vec::new())))?;
+    let bus = config.bus;
+    spawn("bus", move || feed.follow(bus)).map_err(|e| format!("bus thread: {e}"))?;
+
+    let intake = Arc::new(Intake::new(config.classes, inputs.clone(), counters.clone()));
+    let most = config.sockets / 2;
+    spawn("accept", move || fastcgi::accept(&listener, &intake, most))
+        .map_err(|e| format!("accept thread: {e}"))?;
+    eprintln!("ready: {} listens on {}, pid {}", config.name, config.listen, std::process::id());
+
+    let (term, terms) = bounded(1);
+    let shown = counters.clone();
+    spawn("signals", move || {
+        for signal in signals.forever() {
+            match signal {
+                SIGUSR1 => eprintln!("{shown}"),
+                _ => drop(term.try_send(())),
+            }
+        }
+    })
+    .map_err(|e| format!("signal thread: {e}"))?;
+
+    crossbeam_channel::select! {
+        recv(terms) -> _ => {}
+        recv(stopped) -> _ => return Err("the engine has stopped".into()),
+    }
+    eprintln!("draining: {} requests are open", counters.open.load(Relaxed));
+    let _ = inputs.send(Input::Drain);
+    drain(&counters, config.longest_deadline, &stopped)?;
+    let _ = inputs.send(Input::Stop);
+    eprintln!("{counters}");
+    eprintln!("stopped");
+    Ok(())
+}
+
+fn start_engine(engine: Engine<Pool>, events: Receiver<Input>) -> Result<Receiver<()>, String> {
+    let (alive, stopped) = bounded::<()>(0);
+    let run = move || {
+        let _alive = alive;
+        engine.run(&events);
+    };
+    let thread = std::thread::Builder::new().name("engine".into()).spawn(run);
+    thread.map_err(|e| format!("engine thread: {e}"))?;
+    Ok(stopped)
+}
+
+/// Waits until nothing is open any more, for the longest deadline at most.
+fn drain(counters: &Counters, longest: f64, stopped: &Receiver<()>) -> Result<(), String> {
+    let since = Instant::now();
+    let last = Duration::from_secs_f64(longest / 1000.0 + 0.6);
+    let ticks = tick(Duration::from_millis(50));
+    loop {
+        crossbeam_channel::select! {
+            recv(ticks) -> _ => {}
+            recv(stopped) -> _ => return Err("the engine has stopped".into()),
+        }
+        let done = since.elapsed() >= STAY && counters.all_answered();
+        if done || since.elapsed() >= last {
+            return Ok(());
+        }
+    }
+}
--- /dev/null
+++ b/front/src/memory/counters.rs
@@ -0,0 +1,73 @@
+//! Counters of what is taken in, sent and answered.
+
+use std::fmt;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+
+use elmtide::Outcome;
+
+const OUTCOMES: [&str; 9] =
+    ["ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot", "miss"];
+
+#[derive(Debug, Default)]
+pub struct Counters {
+    pub taken: AtomicU64,
+    pub bad_requests: AtomicU64,
+    pub served: AtomicU64,
+    pub refused: AtomicU64,
+    pub failed: AtomicU64,
+    pub abandoned: AtomicU64,
+    pub open: AtomicU64,
+    pub sent: AtomicU64,
+    pub client_connections: AtomicU64,
+    pub node_connections: AtomicU64,
+    pub bus_events: AtomicU64,
+    pub bus_failures: AtomicU64,
+    outcomes: [AtomicU64; 9],
+}
+
+impl Counters {
+    /// Whether each request that was taken has had its end.
+    pub fn all_answered(&self) -> bool {
+        let ended = [&self.served, &self.refused, &self.failed, &self.abandoned];
+        self.taken.load(Relaxed) == ended.iter().map(|c| c.load(Relaxed)).sum::<u64>()
+    }
+
+    pub fn outcome(&self, outcome: Outcome) {
+        let place = match outcome {
+            Outcome::Ok => 0,
+            Outcome::Error => 1,
+            Outcome::Full => 2,
+            Outcome::Timeout => 3,
+            Outcome::ConnectFailed => 4,
+            Outcome::Reset => 5,
+            Outcome::Cancelled => 6,
+            Outcome::Moot => 7,
+            Outcome::Miss => 8,
+        };
+        self.outcomes[place].fetch_add(1, Relaxed);
+    }
+}
+
+impl fmt::Display for Counters {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let named = [
+            ("taken", &self.taken),
+            ("bad_requests", &self.bad_requests),
+            ("served", &self.served),
+            ("refused", &self.refused),
+            ("failed", &self.failed),
+            ("abandoned", &self.abandoned),
+            ("open", &self.open),
+            ("sent", &self.sent),
+            ("client_connections", &self.client_connections),
+            ("node_connections", &self.node_connections),
+            ("bus_events", &self.bus_events),
+            ("bus_failures", &self.bus_failures),
+        ];
+        write!(f, "counters")?;
+        for (name, value) in named.into_iter().chain(OUTCOMES.into_iter().zip(&self.outcomes)) {
+            write!(f, " {name}={}", value.load(Relaxed))?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/front/src/memory/exchanges.rs
@@ -0,0 +1,91 @@
+//! The table of exchanges that are open or still have attempts out.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use elmtide::{Ms, RequestId, Try};
+
+use crate::exchange::{Answer, Incoming, Passed, Responder};
+
+/// Exchanges held at most: with bodies of 48,000 bytes at the most these stay under 50 MB.
+const MOST: usize = 1024;
+
+#[derive(Debug)]
+pub struct Exchange {
+    pub deadline: Ms,
+    pub passed: Arc<Passed>,
+    pub(crate) responder: Option<Responder>,
+    /// For each attempt when it was sent, while it is out.
+    pub(crate) attempts: Vec<Option<Ms>>,
+}
+
+impl Exchange {
+    pub fn new(incoming: Incoming) -> Exchange {
+        let Incoming { deadline, passed, responder, .. } = incoming;
+        Exchange { deadline, passed, responder: Some(responder), attempts: Vec::new() }
+    }
+
+    /// Gives the final answer; false if there has been one.
+    pub fn answer(&mut self, answer: Answer) -> bool {
+        let responder = self.responder.take();
+        responder.map(|to| to.answer(answer)).is_some()
+    }
+
+    /// The client has left; false if the exchange was over.
+    pub fn abandon(&mut self) -> bool {
+        self.responder.take().map(Responder::discard).is_some()
+    }
+
+    pub fn is_answered(&self) -> bool {
+        self.responder.is_none()
+    }
+
+    pub fn begin_attempt(&mut self, now: Ms) -> Try {
+        self.attempts.push(Some(now));
+        Try((self.attempts.len() - 1) as u8)
+    }
+
+    pub fn is_out(&self, attempt: Try) -> bool {
+        self.attempts.get(usize::from(attempt.0)).is_some_and(Option::is_some)
+    }
+
+    /// When the attempt was sent, if it was out: each has one end.
+    pub fn end_attempt(&mut self, attempt: Try) -> Option<Ms> {
+        self.attempts.get_mut(usize::from(attempt.0)).and_then(Option::take)
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Exchanges(HashMap<RequestId, Exchange>);
+
+impl Exchanges {
+    pub fn is_full(&self) -> bool {
+        self.0.len() >= MOST
+    }
+
+    pub fn open(&mut self, incoming: Incoming) {
+        self.0.insert(incoming.id, Exchange::new(incoming));
+    }
+
+    pub fn get_mut(&mut self, id: RequestId) -> Option<&mut Exchange> {
+        self.0.get_mut(&id)
+    }
+
+    /// Gives the final answer of an exchange; false if there has been one.
+    pub fn answer(&mut self, id: RequestId, answer: Answer) -> bool {
+        let answered = self.0.get_mut(&id).is_some_and(|e| e.answer(answer));
+        self.settle(id);
+        answered
+    }
+
+    /// Forgets an exchange that is answered and has no attempt out.
+    pub fn settle(&mut self, id: RequestId) {
+        if self.0.get(&id).is_some_and(|e| e.is_answered() && e.attempts.iter().all(Option::is_none)) {
+            self.0.remove(&id);
+        }
+    }
+
+    pub fn unanswered(&self) -> usize {
+        self.0.values().filter(|e| !e.is_answered()).count()
+    }
+}
--- /dev/null
+++ b/front/src/memory/members.rs
@@ -0,0 +1,51 @@
+//! The members that the lists have named: their names on the wire and where they listen.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use elmtide::MemberId;
+
+use crate::exchange::MemberNews;
+
+/// Members remembered at most; those gone longest are forgotten first.
+const MOST: usize = 4096;
+
+#[derive(Clone, Debug)]
+pub struct Member {
+    pub name: Arc<str>,
+    pub addr: Option<SocketAddr>,
+    pub gone: bool,
+}
+
+#[derive(Debug, Default)]
+pub struct Members(BTreeMap<MemberId, Member>);
+
+/// The number of a member is a hash of its name (FNV-1a), the same at every front and after every restart: the
+/// module's tables are built from it and must agree between fronts.
+pub fn member_id(name: &str) -> MemberId {
+    let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01B3);
+    MemberId(name.bytes().fold(0xCBF2_9CE4_8422_2325, step))
+}
+
+impl Members {
+    pub fn learn(&mut self, news: &MemberNews) {
+        if self.0.len() >= MOST && !self.0.contains_key(&news.member) {
+            self.0.retain(|_, m| !m.gone);
+        }
+        let member = Member { name: news.name.clone(), addr: news.addr, gone: news.gone };
+        self.0.insert(news.member, member);
+    }
+
+    pub fn get(&self, id: MemberId) -> Option<&Member> {
+        self.0.get(&id)
+    }
+
+    pub fn ids(&self) -> Vec<MemberId> {
+        self.0.keys().copied().collect()
+    }
+
+    pub fn set_gone(&mut self, id: MemberId) {
+        self.0.entry(id).and_modify(|m| m.gone = true);
+    }
+}
--- /dev/null
+++ b/front/src/memory/mod.rs
@@ -0,0 +1,5 @@
+//! What is kept in memory. All of it is bounded.
+
+pub mod counters;
+pub mod exchanges;
+pub mod members;
--- /dev/null
+++ b/front/src/wire/mod.rs
@@ -0,0 +1,5 @@
+//! Codecs: bytes to values and back. Nothing here reads a socket, a clock or any state.
+
+pub mod bus;
+pub mod fastcgi;
+pub mod lines;
--- a/benchlink/src/settings.rs
+++ b/settings/src/lib.rs
@@ -34,6 +34,10 @@
 
 pub fn parse(text: &[u8]) -> Result<Settings, String> {
     let root: Value = serde_json::from_slice(text).map_err(|e| format!("settings are not JSON: {e}"))?;
+    read(&root)
+}
+
+pub fn read(root: &Value) -> Result<Settings, String> {
     let nothing = Value::Null;
     let part = |key: &str| root.get(key).unwrap_or(&nothing);
     let (family, limits, rules) = (part("FamilyInfo"), part("Limits"), part("Rules"));
@@ -65,14 +69,14 @@
         });
     }
     Ok(Settings {
-        zone: ZoneId(needed(&root, "Az")? as u8),
+        zone: ZoneId(needed(root, "Az")? as u8),
         classes,
-        fronts: number(&root, "GroupSize").map(|n| n as u32),
+        fronts: number(root, "GroupSize").map(|n| n as u32),
         zone_fronts: numbers(family, "CountByZone").into_iter().map(|n| n as u32).collect(),
         parent_kind: kind(family, "ShieldKind"),
         origin_kind: kind(family, "SourceKind"),
-        must_subscribe: word(&root, "Discovery") == "subscribe",
-        weights: match word(&root, "Weights") {
+        must_subscribe: word(root, "Discovery") == "subscribe",
+        weights: match word(root, "Weights") {
             "nominal" => WeightMeaning::Nominal,
             "rough" => WeightMeaning::Rough,
             "live" => WeightMeaning::Live,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -23,7 +23,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct CellId(pub u16);
 /// Number of an attempt within its request, from 0 in the order of sending.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Try(pub u8);
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Token(pub u64);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -266,7 +266,7 @@
     next_step: Ms,                // when a ramp takes its next step
     classes: Vec<ClassView>,
     retries: f64,
-    purges: BTreeMap<(PurgeGroup, Option<ObjectId>), Ms>, // of objects, and of whole groups
+    purges: BTreeMap<Purged, Ms>,
     purges_swept: Ms,
     open: BTreeMap<RequestId, Open>,
     /// Mean badness of late; whether the way to the origin is guarded; its fetches out, and allowed.
@@ -277,6 +277,13 @@
     salt: u64,
 }
 
+/// What a purge names; a purge of an object need not tell the object's group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Purged {
+    Object(ObjectId),
+    Group(PurgeGroup),
+}
+
 /// How many of a thing may be out under guard: what comes back late makes it less, in time more. Below one it
 /// is a chance, so that many fronts with a small part each still add up to the whole.
 #[derive(Debug, Default)]
@@ -514,13 +521,14 @@
             self.purges.retain(|_, at| *at >= old);
             self.purges_swept = now;
         }
-        self.purges.entry((group, object)).and_modify(|last| *last = last.max(at)).or_insert(at);
+        let purged = object.map_or(Purged::Group(group), Purged::Object);
+        self.purges.entry(purged).and_modify(|last| *last = last.max(at)).or_insert(at);
     }
 
     /// The last purge that a request's copy has to be younger than, while older copies may be about.
     fn purged_at(&self, request: &Request, now: Ms) -> Option<Ms> {
-        let at = |object| self.purges.get(&(request.group, object)).copied().unwrap_or(f64::NEG_INFINITY);
-        let at = at(None).max(at(Some(request.object)));
+        let at = |purged| self.purges.get(&purged).copied().unwrap_or(f64::NEG_INFINITY);
+        let at = at(Purged::Group(request.group)).max(at(Purged::Object(request.object)));
         (now - at <= self.purge_span()).then_some(at)
     }
 
