--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -141,3 +141,13 @@
         assert_eq!(sent(&front.ask(99, 5)).unwrap().max_age, None, "the ledger lets go");
     }
 }
+
+/// The event bus names a purged object without its group; the request names both.
+#[test]
+fn a_purge_of_an_object_holds_whatever_group_the_request_names() {
+    let mut front = Front::new(settings(), fleet());
+    let purge = Event::Purged { object: Some(ObjectId(7)), group: PurgeGroup(0), ago: 100.0 };
+    front.tell(purge);
+    assert!(sent(&front.ask(1, 7)).unwrap().max_age.is_some_and(|age| age < 100.0));
+    assert_eq!(sent(&front.ask(2, 8)).unwrap().max_age, None, "another object of the group");
+}
