Add the second front: DNS-based request routing with plan and apply

deploy/edge.toml switches it on; without the file nothing of it starts. An authoritative server (UDP and TCP) answers names with addresses of ours only, so no TTL can bind a client to a cache node; the requests then come as HTTP/1.1 and go through the same exchange and engine. Requests that must not run twice need an Idempotency-Key and go through one ledger that all addresses share. A resolver client turns vanished addresses into draining members. plan/apply talk to the running program over a socket in the temporary folder; all addresses are bound before anything changes.

--- a/front/src/client/bus.rs
+++ b/front/src/client/bus.rs
@@ -10,10 +10,11 @@
 use crossbeam_channel::Sender;
 use elmtide::{Availability, CellId, Event, KindId, ListNews, Listing, ObjectId, PurgeGroup, ZoneId};
 
-use crate::exchange::{Input, MemberNews, MembersNews};
+use crate::exchange::{Input, ListSource, MemberNews, MembersNews};
 use crate::memory::counters::Counters;
 use crate::memory::members::member_id;
-use crate::wire::bus::{self, Batch, Body, Server, State};
+use crate::wire::bus::{self, Batch, Server, State};
+use crate::wire::http::{self, Body};
 
 /// What is announced counts as told after 7 s at the latest, heard or not. A read is held for less than that,
 /// so that a bus gone silent is noticed and asked again in time.
@@ -32,12 +33,12 @@
 }
 
 impl Names {
-    fn zone(&self, name: &str) -> Option<ZoneId> {
+    pub fn zone(&self, name: &str) -> Option<ZoneId> {
         let place = self.zones.iter().position(|z| z == name)?;
         u8::try_from(place).ok().map(ZoneId)
     }
 
-    fn kind(&self, name: &str) -> Option<KindId> {
+    pub fn kind(&self, name: &str) -> Option<KindId> {
         let place = self.kinds.iter().position(|k| k == name)?;
         u16::try_from(place).ok().map(KindId)
     }
@@ -81,7 +82,8 @@
                 }
                 let news = if *full { ListNews::Full } else { ListNews::Delta };
                 let event = Event::List { news, entries };
-                Input::Listed { news: MembersNews { full: *full, members }, event }
+                let news = MembersNews { full: *full, members };
+                Input::Listed { from: ListSource::Bus, news, event }
             }
         }
     }
@@ -162,12 +164,12 @@
     let mut chunk = [0; 8192];
     let mut ended = false;
     loop {
-        if let Some(head) = bus::response_head(bytes)? {
+        if let Some(head) = http::response_head(bytes)? {
             let rest = &bytes[head.size..];
             let whole = match head.body {
                 Body::Length(length) if rest.len() >= length => Some((rest[..length].to_vec(), length)),
                 Body::Length(_) => None,
-                Body::Chunked => bus::chunked(rest)?,
+                Body::Chunked => http::chunked(rest)?,
                 Body::UntilClose => ended.then(|| (rest.to_vec(), rest.len())),
             };
             if let Some((body, used)) = whole {
--- a/front/src/client/mod.rs
+++ b/front/src/client/mod.rs
@@ -3,3 +3,4 @@
 pub mod bus;
 pub mod connection;
 pub mod pool;
+pub mod resolver;
--- a/front/src/engine.rs
+++ b/front/src/engine.rs
@@ -42,6 +42,8 @@
     /// Ends of attempts that were found here and not by a connection.
     ended: VecDeque<(AttemptKey, Outcome)>,
     unreached: VecDeque<elmtide::MemberId>,
+    /// What the resolver found last: a whole list of the bus leaves it out.
+    resolved: Option<(MembersNews, Event)>,
     actions: Vec<Action>,
     counters: Arc<Counters>,
     wait_ms: Option<u64>,
@@ -63,6 +65,7 @@
             alarms,
             ended: VecDeque::new(),
             unreached: VecDeque::new(),
+            resolved: None,
             actions,
             counters,
             wait_ms,
@@ -110,9 +113,17 @@
             Input::Probed { member, outcome, latency } => {
                 self.tell(Event::Probed { member, outcome, latency })
             }
-            Input::Listed { news, event } => {
+            Input::Listed { from, news, event } => {
+                let whole = from == ListSource::Bus && news.full;
+                if from == ListSource::Resolver {
+                    self.resolved = Some((news.clone(), event.clone()));
+                }
                 self.upstream.learn(&news);
                 self.tell(event);
+                if let Some((news, event)) = self.resolved.clone().filter(|_| whole) {
+                    self.upstream.learn(&news);
+                    self.tell(event);
+                }
             }
             Input::Purged { object, group, at } => {
                 let ago = (self.now - at).max(0.0);
--- a/front/src/exchange.rs
+++ b/front/src/exchange.rs
@@ -2,9 +2,9 @@
 //! Neither knows the other; both know these types. An exchange has an identity, an absolute deadline, the
 //! attempts that are out and exactly one final answer.
 
+use std::fmt;
 use std::sync::Arc;
 
-use crossbeam_channel::{Sender, TrySendError};
 use elmtide::{ClassId, FillMode, MemberId, Ms, Note, ObjectId, Outcome, PurgeGroup, RequestId, Try};
 
 /// A word of at most 64 letters, digits, `-`, `_` and `.`: it can stand in a line of words as it came.
@@ -71,50 +71,43 @@
     pub client_has_it: bool,
 }
 
-#[derive(Debug)]
-pub struct Delivery {
-    /// Which of the connection's requests is answered.
-    pub slot: u16,
-    pub answer: Answer,
-}
+type Sink = Box<dyn FnOnce(Answer) + Send>;
 
 /// Takes the final answer to whoever asked. It is used up by answering, so there is never a second one; dropped
 /// without one, it answers 'failed', so there is always a first.
-#[derive(Debug)]
-pub struct Responder {
-    slot: u16,
-    to: Option<Sender<Delivery>>,
-}
+pub struct Responder(Option<Sink>);
 
 impl Responder {
-    pub fn new(slot: u16, to: Sender<Delivery>) -> Responder {
-        Responder { slot, to: Some(to) }
+    /// The sink is called by the engine: it may not block.
+    pub fn new(sink: impl FnOnce(Answer) + Send + 'static) -> Responder {
+        Responder(Some(Box::new(sink)))
     }
 
-    /// Never blocks: the channel has room for every request that a connection may have open. Where it is full
-    /// or closed, the connection is past help.
     pub fn answer(mut self, answer: Answer) {
-        self.send(answer);
+        self.give(answer);
     }
 
     /// The client has left: no answer is owed.
     pub fn discard(mut self) {
-        self.to = None;
+        self.0 = None;
     }
 
-    fn send(&mut self, answer: Answer) {
-        if let Some(to) = self.to.take() {
-            match to.try_send(Delivery { slot: self.slot, answer }) {
-                Ok(()) | Err(TrySendError::Disconnected(_)) => {}
-                Err(TrySendError::Full(_)) => eprintln!("answer dropped: queue of a client is full"),
-            }
+    fn give(&mut self, answer: Answer) {
+        if let Some(sink) = self.0.take() {
+            sink(answer);
         }
     }
 }
 
+impl fmt::Debug for Responder {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(if self.0.is_some() { "Responder(owed)" } else { "Responder(given)" })
+    }
+}
+
 impl Drop for Responder {
     fn drop(&mut self) {
-        self.send(Answer::Failed);
+        self.give(Answer::Failed);
     }
 }
 
@@ -210,6 +203,13 @@
     pub gone: bool,
 }
 
+/// Who names members. A whole list of the bus says nothing of those that the resolver has found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListSource {
+    Bus,
+    Resolver,
+}
+
 /// What comes in at the engine.
 #[derive(Debug)]
 pub enum Input {
@@ -226,6 +226,7 @@
         latency: Ms,
     },
     Listed {
+        from: ListSource,
         news: MembersNews,
         event: elmtide::Event,
     },
--- a/front/src/lifecycle/config.rs
+++ b/front/src/lifecycle/config.rs
@@ -16,6 +16,8 @@
 pub struct Class {
     pub name: Arc<str>,
     pub id: ClassId,
+    pub write: bool,
+    pub deadline: Ms,
 }
 
 #[derive(Debug)]
@@ -68,6 +70,8 @@
             .map(|(place, class)| Class {
                 name: class["Name"].as_str().unwrap_or("").into(),
                 id: ClassId(place as u16),
+                write: settings.classes.get(place).is_some_and(|c| c.write),
+                deadline: settings.classes.get(place).map_or(0.0, |c| c.deadline),
             })
             .collect();
         let limit =
--- /dev/null
+++ b/front/src/lifecycle/control.rs
@@ -0,0 +1,83 @@
+//! How plan and apply reach the running program: one line of JSON each way over a socket in the file system.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::lifecycle::edge::{Edge, EdgeConfig};
+use crate::lifecycle::plan::Plan;
+use crate::memory::counters::Counters;
+
+const PATIENCE: Duration = Duration::from_secs(5);
+const LONGEST: u64 = 1 << 20;
+
+#[derive(Debug, Serialize, Deserialize)]
+pub enum Ask {
+    Show,
+    Counters,
+    Apply(Plan),
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub enum Reply {
+    InForce(EdgeConfig),
+    Counters(String),
+    Applied { changed: bool },
+    Refused(String),
+}
+
+/// Where the program of this name listens, if nothing else is said.
+pub fn usual_path(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("elmtide-{name}.sock"))
+}
+
+/// Asks the running program.
+pub fn ask(path: &Path, ask: &Ask) -> Result<Reply, String> {
+    let failed = |e: std::io::Error| format!("{}: {e}", path.display());
+    let mut stream = UnixStream::connect(path).map_err(failed)?;
+    stream.set_read_timeout(Some(PATIENCE)).map_err(failed)?;
+    let line = serde_json::to_string(ask).map_err(|e| e.to_string())?;
+    stream.write_all(format!("{line}\n").as_bytes()).map_err(failed)?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).map_err(failed)?;
+    serde_json::from_str(&answer).map_err(|e| format!("the program's answer can't be read: {e}"))
+}
+
+/// Answers one after the other: two plans are never applied at once.
+pub fn listen(path: &Path, edge: Arc<Edge>, counters: Arc<Counters>) -> Result<(), String> {
+    // What an earlier process left behind, if nobody answers there.
+    if UnixStream::connect(path).is_err() {
+        let _ = std::fs::remove_file(path);
+    }
+    let listener = UnixListener::bind(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let serve = move || {
+        for stream in listener.incoming().flatten() {
+            if let Err(why) = answer(stream, &edge, &counters) {
+                eprintln!("control: {why}");
+            }
+        }
+    };
+    crate::lifecycle::spawn("control", serve).map(drop).map_err(|e| e.to_string())
+}
+
+fn answer(mut stream: UnixStream, edge: &Edge, counters: &Counters) -> Result<(), String> {
+    stream.set_read_timeout(Some(PATIENCE)).map_err(|e| e.to_string())?;
+    let mut line = String::new();
+    let got = BufReader::new((&stream).take(LONGEST)).read_line(&mut line);
+    got.map_err(|e| e.to_string())?;
+    let reply = match serde_json::from_str(&line) {
+        Err(why) => Reply::Refused(format!("not understood: {why}")),
+        Ok(Ask::Show) => Reply::InForce(edge.in_force()),
+        Ok(Ask::Counters) => Reply::Counters(counters.to_string()),
+        Ok(Ask::Apply(plan)) => match edge.apply(plan.to, Some(&plan.from)) {
+            Ok(changed) => Reply::Applied { changed },
+            Err(why) => Reply::Refused(why),
+        },
+    };
+    let text = serde_json::to_string(&reply).map_err(|e| e.to_string())?;
+    stream.write_all(text.as_bytes()).map_err(|e| e.to_string())
+}
--- a/front/src/lifecycle/mod.rs
+++ b/front/src/lifecycle/mod.rs
@@ -2,6 +2,9 @@
 
 pub mod clock;
 pub mod config;
+pub mod control;
+pub mod edge;
+pub mod plan;
 pub mod serve;
 
 use std::io;
--- a/front/src/lifecycle/serve.rs
+++ b/front/src/lifecycle/serve.rs
@@ -1,7 +1,8 @@
 //! Runs a front: start in order, ready, drain at SIGTERM, stop.
 
 use std::net::TcpListener;
-use std::sync::atomic::Ordering::Relaxed;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -11,10 +12,14 @@
 
 use crate::client::bus::Feed;
 use crate::client::pool::Pool;
+use crate::client::resolver::Resolved;
 use crate::engine::Engine;
 use crate::exchange::Input;
-use crate::lifecycle::{config::Config, spawn};
+use crate::lifecycle::edge::{Edge, EdgeConfig};
+use crate::lifecycle::{clock, config::Config, control, spawn};
 use crate::memory::counters::Counters;
+use crate::memory::ledger::Ledger;
+use crate::server::http::Site;
 use crate::server::{fastcgi, Intake};
 
 /// Events that wait for the engine at most; whoever brings more waits.
@@ -22,7 +27,14 @@
 /// After SIGTERM new connections come for up to 0.4 s and requests for 0.2 s: the front stays at least so long.
 const STAY: Duration = Duration::from_millis(1000);
 
-pub fn serve(config: Config) -> Result<(), String> {
+/// Where the second front's file is, and where plan and apply find the program.
+pub struct Second {
+    pub file: PathBuf,
+    pub control: Option<PathBuf>,
+}
+
+pub fn serve(config: Config, second: &Second) -> Result<(), String> {
+    let started = clock::unix_ms();
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGUSR1]).map_err(|e| format!("signals: {e}"))?;
     let counters = Arc::new(Counters::default());
     let (inputs, events) = bounded(EVENTS);
@@ -30,7 +42,8 @@
         TcpListener::bind(config.listen).map_err(|e| format!("listen on {}: {e}", config.listen))?;
 
     // The list of the start goes in before the first request can.
-    let mut feed = Feed { names: config.names, last: 0, inputs: inputs.clone(), counters: counters.clone() };
+    let mut feed =
+        Feed { names: config.names.clone(), last: 0, inputs: inputs.clone(), counters: counters.clone() };
     let pool = Pool::new(config.pool, inputs.clone(), counters.clone());
     let engine = Engine::new(config.settings, config.seed, pool, counters.clone());
     let stopped = start_engine(engine, events)?;
@@ -39,6 +52,24 @@
     spawn("bus", move || feed.follow(bus)).map_err(|e| format!("bus thread: {e}"))?;
 
     let intake = Arc::new(Intake::new(config.classes, inputs.clone(), counters.clone()));
+    if second.file.exists() {
+        let resolved = Resolved::new(config.names, inputs.clone());
+        let ledger = Arc::new(Ledger::new(started, config.longest_deadline));
+        let site = |in_force| Site {
+            name: config.name.clone(),
+            intake: intake.clone(),
+            ledger,
+            in_force,
+            seed: config.seed,
+            jobs: AtomicU64::new(1),
+        };
+        let edge = Arc::new(Edge::new(config.name.clone(), resolved, site)?);
+        let path = second.control.clone().unwrap_or_else(|| control::usual_path(&config.name));
+        // The second front must not keep the first from serving.
+        if let Err(why) = start_second(&second.file, &path, edge, &counters) {
+            eprintln!("edge: nothing is in force: {why}");
+        }
+    }
     let most = config.sockets / 2;
     spawn("accept", move || fastcgi::accept(&listener, &intake, most))
         .map_err(|e| format!("accept thread: {e}"))?;
@@ -69,6 +100,11 @@
     Ok(())
 }
 
+fn start_second(file: &Path, path: &Path, edge: Arc<Edge>, counters: &Arc<Counters>) -> Result<(), String> {
+    control::listen(path, edge.clone(), counters.clone())?;
+    edge.apply(EdgeConfig::load(file)?, None).map(drop)
+}
+
 fn start_engine(engine: Engine<Pool>, events: Receiver<Input>) -> Result<Receiver<()>, String> {
     let (alive, stopped) = bounded::<()>(0);
     let run = move || {
--- a/front/src/main.rs
+++ b/front/src/main.rs
@@ -8,18 +8,34 @@
 mod server;
 mod wire;
 
+use std::ffi::OsStr;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use lifecycle::config::Config;
+use lifecycle::serve::Second;
 
 const USAGE: &str = "\
 elmtide: a front that takes requests in and sends them on to cache nodes
 
-  elmtide serve [--config FILE]   run the front in the foreground; FILE is LB_CONFIG where it is not given
-  elmtide check [--config FILE]   read the configuration and say what is wrong with it
-  elmtide version                 print the version
+  elmtide serve [--config FILE] [--edge FILE] [--control PATH]
+      run the front in the foreground; FILE is LB_CONFIG where it is not given. The second front
+      (DNS-based request routing) is on if the edge file is there: deploy/edge.toml where not given
+  elmtide check [--config FILE] [--edge FILE]
+      read the files and say what is wrong with them
+  elmtide plan [--edge FILE] [--control PATH] [--out FILE]
+      show how the edge file differs from what is in force, and save that as a plan;
+      ends with 0 for no change, 2 for a change, 1 for an error
+  elmtide apply [--control PATH] PLAN
+      carry out a saved plan exactly; refused if something else is in force than when it was made
+  elmtide counters [--control PATH]
+      print what the running front has taken, sent and answered
+  elmtide version
 ";
 
+/// Ends of `plan` beside that of an error.
+const CHANGE: u8 = 2;
+
 fn main() -> ExitCode {
     let mut args = pico_args::Arguments::from_env();
     if args.contains(["-h", "--help"]) {
@@ -27,7 +43,7 @@
         return ExitCode::SUCCESS;
     }
     match command(args) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(why) => {
             eprintln!("elmtide: {why}");
             ExitCode::FAILURE
@@ -35,31 +51,50 @@
     }
 }
 
-fn command(mut args: pico_args::Arguments) -> Result<(), String> {
+fn command(mut args: pico_args::Arguments) -> Result<ExitCode, String> {
     let command = args.subcommand().map_err(|e| e.to_string())?;
+    let mut option = |key| {
+        let read = |s: &OsStr| Ok::<_, String>(PathBuf::from(s));
+        args.opt_value_from_os_str(key, read).map_err(|e| e.to_string())
+    };
+    let (config, edge) = (option("--config")?, option("--edge")?);
+    let (control, out) = (option("--control")?, option("--out")?);
+    let mut rest = args.finish();
+    let file = edge.unwrap_or_else(|| lifecycle::edge::FILE.into());
+    let name = std::env::var("LB_NAME").unwrap_or_else(|_| "front".into());
+    let path = || control.clone().unwrap_or_else(|| lifecycle::control::usual_path(&name));
+    let named = if command.as_deref() == Some("apply") { rest.pop() } else { None };
+    if !rest.is_empty() {
+        return Err(format!("not understood: {rest:?}\n\n{USAGE}"));
+    }
     match command.as_deref() {
-        Some("serve") => lifecycle::serve::serve(config(args)?),
+        Some("serve") => lifecycle::serve::serve(load(config)?, &Second { file, control: control.clone() })?,
         Some("check") => {
-            let config = config(args)?;
+            let config = load(config)?;
             println!("{}: {} classes, listens on {}", config.name, config.classes.len(), config.listen);
-            Ok(())
+            if file.exists() {
+                let edge = lifecycle::edge::EdgeConfig::load(&file)?;
+                println!("{}: zone {}, {} names", file.display(), edge.zone, edge.name.len());
+            }
         }
-        Some("version") => {
-            println!("elmtide {}", env!("CARGO_PKG_VERSION"));
-            Ok(())
+        Some("plan") => {
+            if lifecycle::plan::plan(&file, &path(), out.as_deref())? {
+                return Ok(ExitCode::from(CHANGE));
+            }
         }
-        Some(other) => Err(format!("there is no command {other:?}\n\n{USAGE}")),
-        None => Err(format!("no command\n\n{USAGE}")),
+        Some("apply") => {
+            let plan = named.ok_or("apply needs the file of a plan")?;
+            lifecycle::plan::apply(Path::new(&plan), &path())?;
+        }
+        Some("counters") => lifecycle::plan::counters(&path())?,
+        Some("version") => println!("elmtide {}", env!("CARGO_PKG_VERSION")),
+        Some(other) => return Err(format!("there is no command {other:?}\n\n{USAGE}")),
+        None => return Err(format!("no command\n\n{USAGE}")),
     }
+    Ok(ExitCode::SUCCESS)
 }
 
-fn config(mut args: pico_args::Arguments) -> Result<Config, String> {
-    let named: Option<std::path::PathBuf> =
-        args.opt_value_from_os_str("--config", |s| Ok::<_, String>(s.into())).map_err(|e| e.to_string())?;
-    let rest = args.finish();
-    if !rest.is_empty() {
-        return Err(format!("not understood: {rest:?}"));
-    }
+fn load(named: Option<PathBuf>) -> Result<Config, String> {
     let path = named.or_else(|| std::env::var_os("LB_CONFIG").map(Into::into));
     let path = path.ok_or("neither --config nor LB_CONFIG names a configuration")?;
     let listen = std::env::var("LB_LISTEN").ok();
--- a/front/src/memory/mod.rs
+++ b/front/src/memory/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod counters;
 pub mod exchanges;
+pub mod ledger;
 pub mod members;
--- a/front/src/server/fastcgi.rs
+++ b/front/src/server/fastcgi.rs
@@ -8,10 +8,10 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use crossbeam_channel::{bounded, Receiver, Sender};
+use crossbeam_channel::{bounded, Receiver, Sender, TrySendError};
 use elmtide::RequestId;
 
-use crate::exchange::{Answer, Delivery, Input, Responder, Token};
+use crate::exchange::{Answer, Input, Responder, Token};
 use crate::lifecycle::{clock, spawn};
 use crate::server::{Fields, Intake};
 use crate::wire::fastcgi::{self, Malformed, Pairs, ProtocolStatus, Record};
@@ -25,6 +25,12 @@
 const HEALTH: &[u8] = b"/-/healthy";
 const API: &str = "/api/v2/";
 
+struct Delivery {
+    /// Which of the connection's requests is answered.
+    slot: u16,
+    answer: Answer,
+}
+
 /// What the writer is to send.
 enum Out {
     Deliver(Delivery),
@@ -263,8 +269,15 @@
         fields.class = class.unwrap_or("").to_owned();
         // Open before the engine hears of it: the answer may be faster than this thread.
         lock(&self.open).insert(id, Open { request: None, keep: half.keep });
-        let responder = Responder::new(id, self.deliveries.clone());
-        if let Some(request) = self.intake.take(fields, half.body, came, responder) {
+        let deliveries = self.deliveries.clone();
+        let responder = Responder::new(move |answer| {
+            // There is room for every request that may be open: where there is none, the client is past help.
+            if let Err(TrySendError::Full(_)) = deliveries.try_send(Delivery { slot: id, answer }) {
+                eprintln!("client connection: an answer found no room in its queue");
+            }
+        });
+        if let Some(ready) = self.intake.ready(fields, half.body, came) {
+            let request = self.intake.hand_in(ready, responder);
             lock(&self.open).entry(id).and_modify(|o| o.request = Some(request));
         }
         Ok(())
--- a/front/src/server/mod.rs
+++ b/front/src/server/mod.rs
@@ -1,12 +1,14 @@
 //! Takes requests in.
 
+pub mod dns;
 pub mod fastcgi;
+pub mod http;
 
 use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::sync::Arc;
 
 use crossbeam_channel::Sender;
-use elmtide::{Ms, ObjectId, PurgeGroup, RequestId};
+use elmtide::{ClassId, Ms, ObjectId, PurgeGroup, RequestId};
 
 use crate::exchange::{Incoming, Input, Passed, Responder, Token};
 use crate::lifecycle::config::Class;
@@ -38,18 +40,21 @@
         Intake { classes, next: AtomicU32::new(1), inputs, counters }
     }
 
-    /// Makes an exchange of a request that came whole at this moment. What can't be used is answered here.
-    pub fn take(&self, fields: Fields, body: Vec<u8>, came: Ms, responder: Responder) -> Option<RequestId> {
-        let Some(incoming) = self.incoming(fields, body, came, responder) else {
+    pub fn class(&self, name: &str) -> Option<&Class> {
+        self.classes.iter().find(|c| &*c.name == name)
+    }
+
+    /// Makes a request of what came whole at this moment; `None` for fields that can't be used.
+    pub fn ready(&self, fields: Fields, body: Vec<u8>, came: Ms) -> Option<Ready> {
+        let ready = self.read(fields, body, came);
+        if ready.is_none() {
             self.counters.bad_requests.fetch_add(1, Relaxed);
-            return None;
-        };
-        let id = incoming.id;
-        self.inputs.send(Input::Taken(incoming)).ok().map(|()| id)
+        }
+        ready
     }
 
-    fn incoming(&self, fields: Fields, body: Vec<u8>, came: Ms, responder: Responder) -> Option<Incoming> {
-        let class = self.classes.iter().find(|c| *c.name == fields.class)?;
+    fn read(&self, fields: Fields, body: Vec<u8>, came: Ms) -> Option<Ready> {
+        let class = self.class(&fields.class)?;
         let item = fields.item?;
         let hex = |t: &Token| t.as_str().len() <= 16 && t.as_str().bytes().all(|b| b.is_ascii_hexdigit());
         let object = u64::from_str_radix(item.as_str(), 16).ok().filter(|_| hex(&item))?;
@@ -58,8 +63,7 @@
         let allow = fields.allow_ms.filter(|ms| ms.is_finite() && *ms > 0.0)?;
         let passed =
             Passed { job: fields.job?, class_name: class.name.clone(), item, part, seen: fields.seen, body };
-        Some(Incoming {
-            id: RequestId(self.next.fetch_add(1, Relaxed)),
+        Some(Ready {
             class: class.id,
             object: ObjectId(object),
             part: number,
@@ -67,7 +71,26 @@
             size_kb: fields.size_kb.filter(|kb| kb.is_finite() && *kb > 0.0),
             deadline: came + allow,
             passed: Arc::new(passed),
-            responder,
         })
     }
+
+    /// Hands a request in; the responder answers by itself if the engine is gone.
+    pub fn hand_in(&self, ready: Ready, responder: Responder) -> RequestId {
+        let id = RequestId(self.next.fetch_add(1, Relaxed));
+        let Ready { class, object, part, group, size_kb, deadline, passed } = ready;
+        let incoming = Incoming { id, class, object, part, group, size_kb, deadline, passed, responder };
+        let _ = self.inputs.send(Input::Taken(incoming));
+        id
+    }
+}
+
+/// A request that can be handed in.
+pub struct Ready {
+    class: ClassId,
+    object: ObjectId,
+    part: u32,
+    group: PurgeGroup,
+    size_kb: Option<f64>,
+    pub deadline: Ms,
+    passed: Arc<Passed>,
 }
--- a/front/src/wire/bus.rs
+++ b/front/src/wire/bus.rs
@@ -1,4 +1,4 @@
-//! The event bus: numbered events as JSON, read over HTTP/1.1.
+//! The event bus: numbered events as JSON.
 
 use serde_json::Value;
 
@@ -96,65 +96,3 @@
 pub fn read_request(host: &str, from: u64, hold_ms: u64) -> String {
     format!("GET /bus/read?from={from}&hold={hold_ms} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n")
 }
-
-/// The head of a response: how long it is, its status and the length of its body, `None` where the body ends
-/// with the connection.
-#[derive(Debug, PartialEq, Eq)]
-pub struct Head {
-    pub size: usize,
-    pub status: u16,
-    pub body: Body,
-    pub keep: bool,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Body {
-    Length(usize),
-    Chunked,
-    UntilClose,
-}
-
-/// Reads the head of a response; `None` while it has not come whole.
-pub fn response_head(bytes: &[u8]) -> Result<Option<Head>, String> {
-    let mut headers = [httparse::EMPTY_HEADER; 32];
-    let mut response = httparse::Response::new(&mut headers);
-    let size = match response.parse(bytes).map_err(|e| e.to_string())? {
-        httparse::Status::Partial => return Ok(None),
-        httparse::Status::Complete(size) => size,
-    };
-    let mut body = Body::UntilClose;
-    let mut keep = response.version == Some(1);
-    for header in response.headers.iter() {
-        let value = std::str::from_utf8(header.value).map_err(|e| e.to_string())?.trim();
-        if header.name.eq_ignore_ascii_case("content-length") {
-            body = Body::Length(value.parse().map_err(|_| format!("content-length is {value:?}"))?);
-        } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
-            body = Body::Chunked;
-        } else if header.name.eq_ignore_ascii_case("connection") {
-            keep = !value.eq_ignore_ascii_case("close");
-        }
-    }
-    Ok(Some(Head { size, status: response.code.unwrap_or(0), body, keep }))
-}
-
-/// Joins the chunks of a chunked body; gives it and how many bytes it took, `None` while it is not whole.
-pub fn chunked(bytes: &[u8]) -> Result<Option<(Vec<u8>, usize)>, String> {
-    let (mut body, mut at) = (Vec::new(), 0);
-    loop {
-        match httparse::parse_chunk_size(&bytes[at..]).map_err(|_| "a chunk size can't be read")? {
-            httparse::Status::Partial => return Ok(None),
-            httparse::Status::Complete((used, size)) => {
-                let (start, size) = (at + used, usize::try_from(size).map_err(|e| e.to_string())?);
-                let end = start.checked_add(size).ok_or("a chunk is too long")?;
-                if bytes.len() < end + 2 {
-                    return Ok(None);
-                }
-                body.extend_from_slice(&bytes[start..end]);
-                at = end + 2;
-                if size == 0 {
-                    return Ok(Some((body, at)));
-                }
-            }
-        }
-    }
-}
