--- a/front/src/lifecycle/config.rs
+++ b/front/src/lifecycle/config.rs
@@ -92,7 +92,7 @@
             names: Names { zones: names(told, "Zones"), kinds: names(told, "Kinds") },
             classes,
             known,
-            longest_deadline: settings.classes.iter().map(|c| c.deadline).fold(3000.0, f64::max),
+            longest_deadline: settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max),
             settings,
             pool,
         })
--- a/front/src/lifecycle/serve.rs
+++ b/front/src/lifecycle/serve.rs
@@ -41,6 +41,8 @@
     let listener =
         TcpListener::bind(config.listen).map_err(|e| format!("listen on {}: {e}", config.listen))?;
 
+    let at = listener.local_addr().map_err(|e| e.to_string())?;
+
     // The list of the start goes in before the first request can.
     let mut feed =
         Feed { names: config.names.clone(), last: 0, inputs: inputs.clone(), counters: counters.clone() };
@@ -65,6 +67,12 @@
         };
         let edge = Arc::new(Edge::new(config.name.clone(), resolved, site)?);
         let path = second.control.clone().unwrap_or_else(|| control::usual_path(&config.name));
+        let closed = Duration::from_secs_f64(config.longest_deadline / 1000.0);
+        let opens = move || {
+            std::thread::sleep(closed);
+            eprintln!("ledger: open, requests that run once are taken from now on");
+        };
+        spawn("ledger", opens).map_err(|e| format!("ledger thread: {e}"))?;
         // The second front must not keep the first from serving.
         if let Err(why) = start_second(&second.file, &path, edge, &counters) {
             eprintln!("edge: nothing is in force: {why}");
@@ -73,7 +81,7 @@
     let most = config.sockets / 2;
     spawn("accept", move || fastcgi::accept(&listener, &intake, most))
         .map_err(|e| format!("accept thread: {e}"))?;
-    eprintln!("ready: {} listens on {}, pid {}", config.name, config.listen, std::process::id());
+    eprintln!("ready: {} listens on {at}, pid {}", config.name, std::process::id());
 
     let (term, terms) = bounded(1);
     let shown = counters.clone();
--- a/front/src/server/fastcgi.rs
+++ b/front/src/server/fastcgi.rs
@@ -34,7 +34,13 @@
 /// What the writer is to send.
 enum Out {
     Deliver(Delivery),
-    Raw(Vec<u8>),
+    Raw(Raw),
+}
+
+/// Bytes that are no answer of an exchange, and whether the connection closes after them.
+struct Raw {
+    bytes: Vec<u8>,
+    last: bool,
 }
 
 #[derive(Debug, Default)]
@@ -148,7 +154,7 @@
     half: HashMap<u16, Half>,
     open: OpenTable,
     deliveries: Sender<Delivery>,
-    raw: Sender<Vec<u8>>,
+    raw: Sender<Raw>,
     intake: &'a Intake,
 }
 
@@ -172,9 +178,14 @@
     }
 
     fn say(&self, put: impl FnOnce(&mut Vec<u8>)) -> Result<(), Broken> {
-        let mut out = Vec::new();
-        put(&mut out);
-        self.raw.send(out).map_err(|_| Broken::Closed)
+        self.end(true, put)
+    }
+
+    /// Ends a request that is no exchange; without KEEP_CONN the connection ends with it.
+    fn end(&self, keep: bool, put: impl FnOnce(&mut Vec<u8>)) -> Result<(), Broken> {
+        let mut bytes = Vec::new();
+        put(&mut bytes);
+        self.raw.send(Raw { bytes, last: !keep }).map_err(|_| Broken::Closed)
     }
 
     fn record(&mut self, record: &Record<'_>) -> Result<(), Broken> {
@@ -199,7 +210,8 @@
             return Err(Broken::Reused(id));
         }
         if role != fastcgi::RESPONDER {
-            return self.say(|out| fastcgi::end_request(out, id, 0, ProtocolStatus::UnknownRole));
+            let keep = flags & fastcgi::KEEP_CONN != 0;
+            return self.end(keep, |out| fastcgi::end_request(out, id, 0, ProtocolStatus::UnknownRole));
         }
         if self.half.len() + lock(&self.open).len() >= OPEN {
             return self.say(|out| fastcgi::end_request(out, id, 0, ProtocolStatus::Overloaded));
@@ -209,15 +221,14 @@
     }
 
     fn abort(&mut self, id: u16) -> Result<(), Broken> {
-        let left = lock(&self.open).remove(&id);
-        let known = self.half.remove(&id).is_some() || left.is_some();
-        if let Some(request) = left.and_then(|l| l.request) {
+        let (half, open) = (self.half.remove(&id), lock(&self.open).remove(&id));
+        if let Some(request) = open.and_then(|o| o.request) {
             let _ = self.intake.inputs.send(Input::Abandoned(request));
         }
-        if !known {
+        let Some(keep) = half.map(|h| h.keep).or(open.map(|o| o.keep)) else {
             return Ok(()); // its answer is on the way
-        }
-        self.say(|out| fastcgi::end_request(out, id, 1, ProtocolStatus::RequestComplete))
+        };
+        self.end(keep, |out| fastcgi::end_request(out, id, 1, ProtocolStatus::RequestComplete))
     }
 
     fn content(&mut self, record: &Record<'_>) -> Result<(), Broken> {
@@ -260,10 +271,10 @@
             }
         }
         if path == HEALTH {
-            let mut out = Vec::new();
-            fastcgi::stdout(&mut out, id, b"Status: 200 OK\r\nContent-Type: text/plain\r\n\r\n", b"ok\n");
-            fastcgi::end_request(&mut out, id, 0, ProtocolStatus::RequestComplete);
-            return self.raw.send(out).map_err(|_| Broken::Closed);
+            return self.end(half.keep, |out| {
+                fastcgi::stdout(out, id, b"Status: 200 OK\r\nContent-Type: text/plain\r\n\r\n", b"ok\n");
+                fastcgi::end_request(out, id, 0, ProtocolStatus::RequestComplete);
+            });
         }
         let class = std::str::from_utf8(path).ok().and_then(|p| p.strip_prefix(API));
         fields.class = class.unwrap_or("").to_owned();
@@ -284,20 +295,18 @@
     }
 }
 
-fn write(mut stream: &TcpStream, answers: &Receiver<Delivery>, raws: &Receiver<Vec<u8>>, open: &OpenTable) {
+fn write(mut stream: &TcpStream, answers: &Receiver<Delivery>, raws: &Receiver<Raw>, open: &OpenTable) {
     loop {
         let out = crossbeam_channel::select! {
             recv(answers) -> got => got.map(Out::Deliver),
             recv(raws) -> got => got.map(Out::Raw),
         };
-        let mut last = false;
-        let bytes = match out {
-            Ok(Out::Raw(bytes)) => bytes,
+        let (bytes, last) = match out {
+            Ok(Out::Raw(raw)) => (raw.bytes, raw.last),
             Ok(Out::Deliver(delivery)) => {
                 // One that was aborted meanwhile has had its END_REQUEST.
                 let Some(asked) = lock(open).remove(&delivery.slot) else { continue };
-                last = !asked.keep;
-                answer(&delivery)
+                (answer(&delivery), !asked.keep)
             }
             Err(_) => return,
         };
--- a/front/src/server/http.rs
+++ b/front/src/server/http.rs
@@ -202,11 +202,12 @@
         }
         let word = |name: &str| head.header(name).and_then(|v| Token::new(v.as_bytes()));
         let bare = |tag: &str| Token::new(tag.trim_start_matches("W/").trim_matches('"').as_bytes());
-        let given = |name: &str| head.header(name).map(|v| v.parse::<f64>().unwrap_or(f64::NAN));
+        // A time that can't be read must not turn into the longest one: `min` would pass over a NaN.
+        let allow = head.header("x-allow-ms").map_or(Some(class.deadline), |v| v.parse().ok());
         let fields = Fields {
             class: class.name.to_string(),
             job: word("x-job-id").or_else(|| self.job()),
-            allow_ms: Some(given("x-allow-ms").unwrap_or(class.deadline).min(class.deadline)),
+            allow_ms: allow.filter(|ms: &f64| !ms.is_nan()).map(|ms| ms.min(class.deadline)),
             item: word("x-item"),
             part: word("x-slice"),
             group: head.header("x-set").and_then(|v| v.parse().ok()),
--- /dev/null
+++ b/front/tests/common/mod.rs
@@ -0,0 +1,152 @@
+//! Starts the program with stand-ins on loopback around it. Ports are the system's choice, and every wait is for
+//! a condition, with a limit far above what it takes.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Settings with one cache location; the longest deadline is short, so that the ledger opens soon.
+const SETTINGS: &str = r#"{"Az":1,"GroupSize":1,"Zones":["east","edge-1"],"Kinds":["small","parent","origin"],
+"Weights":"rough","FamilyInfo":{"ShieldKind":1,"SourceKind":2,"NeverKept":[false,true],"ClientKbPerS":7800.0,
+"CountByZone":[0,1]},"Limits":{"TryLimit":8,"Cancelling":true,"SecondCopies":true,"RetryAfter":true,
+"MaxRetryAfterMs":500.0},"RequestClasses":[{"Name":"small-files","OnTimeMs":400,"HardLimitMs":900,"Repeat":"free"},
+{"Name":"plan-signup","OnTimeMs":600,"HardLimitMs":900,"Repeat":"single_shot"}]}"#;
+
+pub struct Log(Mutex<Vec<String>>, Condvar);
+
+impl Log {
+    /// Waits for the n-th line (from 0) that holds the text.
+    pub fn wait(&self, text: &str, nth: usize) -> String {
+        let mut lines = self.0.lock().unwrap();
+        let until = Instant::now() + PATIENCE;
+        loop {
+            if let Some(line) = lines.iter().filter(|l| l.contains(text)).nth(nth) {
+                return line.clone();
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            assert!(!left.is_zero(), "the log never said {text:?}:\n{}", lines.join("\n"));
+            lines = self.1.wait_timeout(lines, left).unwrap().0;
+        }
+    }
+}
+
+pub struct Program {
+    pub child: Child,
+    pub log: Arc<Log>,
+    pub listeners: BTreeMap<String, TcpListener>,
+    pub folder: PathBuf,
+    pub listen: SocketAddr,
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+pub fn folder() -> PathBuf {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let name = format!("elmtide-test-{}-{}", std::process::id(), NEXT.fetch_add(1, Relaxed));
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+pub fn elmtide() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_elmtide"))
+}
+
+/// The next connection; a program that never connects must not hold the tests up for good.
+pub fn accept(listener: &TcpListener) -> TcpStream {
+    listener.set_nonblocking(true).unwrap();
+    let until = Instant::now() + PATIENCE;
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(false).unwrap();
+                return stream;
+            }
+            Err(e) => assert!(Instant::now() < until, "nobody connects: {e}"),
+        }
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+pub fn last_word(line: &str) -> &str {
+    line.rsplit(' ').next().unwrap()
+}
+
+impl Program {
+    /// Caches by name beside the origin `o-1` and the event bus `bus`; the second front if there is an edge file.
+    pub fn start(caches: &[&str], edge: Option<&str>) -> Program {
+        let folder = folder();
+        let names = caches.iter().copied().chain(["o-1", "bus"]);
+        let listeners: BTreeMap<String, TcpListener> =
+            names.map(|n| (n.to_owned(), TcpListener::bind("127.0.0.1:0").unwrap())).collect();
+        let addr = |name: &str| listeners[name].local_addr().unwrap();
+        let server = |name: &str, zone: &str, kind: &str| {
+            format!(
+                r#"{{"id":"{name}","addr":"{}","zone":"{zone}","kind":"{kind}","cell":0,"state":"active","weight":4,"started_ms":0}}"#,
+                addr(name)
+            )
+        };
+        let mut servers: Vec<String> = caches.iter().map(|name| server(name, "edge-1", "small")).collect();
+        servers.push(server("o-1", "east", "origin"));
+        let config = format!(
+            r#"{{"name":"n1","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{{"sockets":1024}},
+            "bus":"{}","known":{{"offset":1,"batch":[{{"offset":1,"topology":{{"version":1,"full":true,"servers":[{}]}}}}]}},
+            "settings":{SETTINGS}}}"#,
+            addr("bus"),
+            servers.join(",")
+        );
+        std::fs::write(folder.join("config.json"), config).unwrap();
+        if let Some(edge) = edge {
+            std::fs::write(folder.join("edge.toml"), edge).unwrap();
+        }
+        let mut child = elmtide()
+            .args(["serve", "--config", "config.json", "--edge", "edge.toml", "--control", "control.sock"])
+            .current_dir(&folder)
+            .env_remove("LB_LISTEN")
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let log = Arc::new(Log(Mutex::default(), Condvar::new()));
+        let (lines, stderr) = (log.clone(), child.stderr.take().unwrap());
+        std::thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                lines.0.lock().unwrap().push(line);
+                lines.1.notify_all();
+            }
+        });
+        let ready = log.wait("ready: ", 0);
+        let listen = ready.split(' ').nth(4).unwrap().trim_end_matches(',').parse().unwrap();
+        Program { child, log, listeners, folder, listen }
+    }
+
+    /// Where the n-th listener of the second front of this kind is.
+    pub fn edge(&self, kind: &str, nth: usize) -> SocketAddr {
+        last_word(&self.log.wait(&format!("edge: {kind} on "), nth)).parse().unwrap()
+    }
+
+    /// Runs a command in the program's folder: its exit code and all that it printed.
+    pub fn run(&self, args: &[&str]) -> (Option<i32>, String) {
+        let out = elmtide().args(args).current_dir(&self.folder).output().unwrap();
+        let text = [out.stdout, out.stderr].concat();
+        (out.status.code(), String::from_utf8_lossy(&text).into_owned())
+    }
+
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
+        assert!(status.unwrap().success());
+    }
+}
--- /dev/null
+++ b/front/tests/play.rs
@@ -0,0 +1,213 @@
+//! Plays recorded byte exchanges (tests/exchanges) against the program and compares what comes back.
+//!
+//! A line is a step: `caches NAME...`, `edge` (a file, up to `end`, with `@NAME` for a stand-in's address); `connect C [http N | dns]`, `udp C`;
+//! `accept C NAME` at a stand-in; `C > bytes` sends, `C < bytes` expects, `C close`, `C closed`;
+//! `signal NAME`, `exit CODE`, `log TEXT`, `run CODE ARGS` and, under it, `| TEXT` that its output holds.
+//! In bytes `{d}` is a number, `{N}` any N bytes, `{c*N}` N times the character, `\r \n \xHH` as in Rust.
+
+mod common;
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Cursor, ErrorKind, Read, Write};
+use std::net::{Shutdown, TcpStream, UdpSocket};
+use std::path::PathBuf;
+
+use common::{Program, PATIENCE};
+use rstest::rstest;
+
+enum Piece {
+    Byte(u8),
+    Number,
+    Any,
+}
+
+fn pieces(text: &str) -> Vec<Piece> {
+    let (mut out, mut rest) = (Vec::new(), text);
+    while let Some(c) = rest.chars().next() {
+        if let Some(inner) = rest.strip_prefix('{') {
+            let (word, tail) = inner.split_once('}').expect("a brace is closed");
+            match word.split_once('*') {
+                Some((c, n)) => (0..n.parse().unwrap()).for_each(|_| out.push(Piece::Byte(c.as_bytes()[0]))),
+                None if word == "d" => out.push(Piece::Number),
+                None => (0..word.parse::<usize>().unwrap()).for_each(|_| out.push(Piece::Any)),
+            }
+            rest = tail;
+        } else if let Some(escape) = rest.strip_prefix('\\') {
+            let (byte, used) = match &escape[..1] {
+                "r" => (b'\r', 1),
+                "n" => (b'\n', 1),
+                "x" => (u8::from_str_radix(&escape[1..3], 16).expect("two hex digits"), 3),
+                other => panic!("no such escape: {other}"),
+            };
+            out.push(Piece::Byte(byte));
+            rest = &escape[used..];
+        } else {
+            out.push(Piece::Byte(c as u8));
+            rest = &rest[1..];
+        }
+    }
+    out
+}
+
+fn bytes(text: &str) -> Vec<u8> {
+    let byte = |piece| match piece {
+        Piece::Byte(b) => b,
+        _ => panic!("what is sent is exact"),
+    };
+    pieces(text).into_iter().map(byte).collect()
+}
+
+enum Peer {
+    Tcp(TcpStream, Box<dyn BufRead>),
+    Udp(UdpSocket),
+}
+
+impl Peer {
+    fn tcp(stream: TcpStream) -> Peer {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let reader = BufReader::new(stream.try_clone().unwrap());
+        Peer::Tcp(stream, Box::new(reader))
+    }
+
+    fn send(&mut self, data: &[u8]) {
+        match self {
+            Peer::Tcp(stream, _) => stream.write_all(data).unwrap(),
+            Peer::Udp(socket) => assert_eq!(socket.send(data).unwrap(), data.len()),
+        }
+    }
+
+    fn expect(&mut self, text: &str) {
+        match self {
+            Peer::Tcp(_, reader) => compare(reader, text),
+            Peer::Udp(socket) => {
+                let mut datagram = vec![0; 65_536];
+                let got = socket.recv(&mut datagram).expect("a datagram");
+                datagram.truncate(got);
+                let mut reader = Cursor::new(datagram);
+                compare(&mut reader, text);
+                assert_eq!(reader.position(), got as u64, "the datagram is longer");
+            }
+        }
+    }
+}
+
+/// Reads as far as the text goes; what differs is shown with what came before it.
+fn compare(reader: &mut dyn BufRead, text: &str) {
+    let mut seen = Vec::new();
+    for piece in pieces(text) {
+        match piece {
+            Piece::Number => {
+                let start = seen.len();
+                while let Some(b) = reader.fill_buf().unwrap().first().copied().filter(u8::is_ascii_digit) {
+                    seen.push(b);
+                    reader.consume(1);
+                }
+                assert!(seen.len() > start, "no number after {:?}", String::from_utf8_lossy(&seen));
+            }
+            Piece::Any | Piece::Byte(_) => {
+                let mut one = [0];
+                let read = reader.read_exact(&mut one);
+                assert!(read.is_ok(), "{read:?} after {:?}", seen.escape_ascii().to_string());
+                seen.push(one[0]);
+                if let Piece::Byte(wanted) = piece {
+                    let shown = seen[seen.len().saturating_sub(300)..].escape_ascii().to_string();
+                    assert!(
+                        one[0] == wanted,
+                        "came {shown:?}, where the last should be {:?}",
+                        wanted as char
+                    );
+                }
+            }
+        }
+    }
+}
+
+#[rstest]
+fn exchange(#[files("tests/exchanges/*.txt")] path: PathBuf) {
+    let text = std::fs::read_to_string(&path).unwrap();
+    let (mut caches, mut edge) = (vec!["s-1"], None);
+    let mut program: Option<Program> = None;
+    let mut peers: HashMap<&str, Peer> = HashMap::new();
+    let mut printed = String::new();
+    let mut lines = text.lines().enumerate();
+    while let Some((number, line)) = lines.next() {
+        eprintln!("{}:{}: {}", path.display(), number + 1, &line[..line.len().min(160)]);
+        let words: Vec<&str> = line.split(' ').collect();
+        if line.is_empty() || line.starts_with('#') {
+            continue;
+        }
+        match words[..] {
+            ["caches", ref names @ ..] => caches = names.to_vec(),
+            ["edge"] => {
+                let file = lines.by_ref().map(|(_, l)| l).take_while(|l| *l != "end");
+                let mut text = file.collect::<Vec<_>>().join("\n");
+                if let Some(program) = &program {
+                    for (name, listener) in &program.listeners {
+                        text = text.replace(&format!("@{name}"), &listener.local_addr().unwrap().to_string());
+                    }
+                    std::fs::write(program.folder.join("edge.toml"), &text).unwrap();
+                }
+                edge = Some(text);
+            }
+            _ => {
+                let program = program.get_or_insert_with(|| Program::start(&caches, edge.as_deref()));
+                step(program, &mut peers, &mut printed, line, &words);
+            }
+        }
+    }
+}
+
+fn step<'a>(
+    program: &mut Program,
+    peers: &mut HashMap<&'a str, Peer>,
+    printed: &mut String,
+    line: &'a str,
+    words: &[&'a str],
+) {
+    match *words {
+        ["connect", name, ref to @ ..] => {
+            let addr = match *to {
+                ["http", nth] => program.edge("http", nth.parse().unwrap()),
+                ["dns"] => program.edge("dns", 0),
+                _ => program.listen,
+            };
+            peers.insert(name, Peer::tcp(TcpStream::connect(addr).unwrap()));
+        }
+        ["udp", name] => {
+            let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+            socket.set_read_timeout(Some(PATIENCE)).unwrap();
+            socket.connect(program.edge("dns", 0)).unwrap();
+            peers.insert(name, Peer::Udp(socket));
+        }
+        ["accept", name, at] => {
+            peers.insert(name, Peer::tcp(common::accept(&program.listeners[at])));
+        }
+        ["signal", name] => program.signal(name),
+        ["exit", code] => {
+            assert_eq!(program.child.wait().unwrap().code(), code.parse().ok());
+        }
+        ["log", ..] => drop(program.log.wait(line.strip_prefix("log ").unwrap(), 0)),
+        ["run", code, ref args @ ..] => {
+            let (ended, text) = program.run(args);
+            assert_eq!(ended, code.parse().ok(), "{text}");
+            *printed = text;
+        }
+        ["|", ..] => assert!(printed.contains(&line[2..]), "{printed}"),
+        [name, ">", ..] => peers.get_mut(name).unwrap().send(&bytes(&line[name.len() + 3..])),
+        [name, "<", ..] => peers.get_mut(name).unwrap().expect(&line[name.len() + 3..]),
+        [name, "close"] => drop(peers.remove(name)),
+        [name, "closed"] => {
+            let Some(Peer::Tcp(stream, mut reader)) = peers.remove(name) else {
+                panic!("{name} is no stream")
+            };
+            let mut rest = Vec::new();
+            // A reset is an end as well; a connection that stays open is none.
+            let waits = [ErrorKind::WouldBlock, ErrorKind::TimedOut];
+            let ended = reader.read_to_end(&mut rest);
+            assert!(!ended.is_err_and(|e| waits.contains(&e.kind())), "{name} is still open");
+            assert!(rest.is_empty(), "before the end came {:?}", rest.escape_ascii().to_string());
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        _ => panic!("no such step: {line}"),
+    }
+}
