--- a/front/src/client/connection.rs
+++ b/front/src/client/connection.rs
@@ -25,6 +25,10 @@
 /// An attempt given up after so long, with nothing read since it was written, shows a connection gone silent.
 const SILENT: Duration = Duration::from_millis(700);
 
+/// What has waited so long for a peer that takes in nothing is not sent any more: it was decided before purges
+/// and drains that may have been told since, and these bind what is sent from 1 s and 2 s on.
+const STALE: Duration = Duration::from_millis(700);
+
 /// What an answer on this connection belongs to.
 #[derive(Clone, Copy, Debug)]
 enum Purpose {
@@ -168,16 +172,7 @@
             std::mem::take(&mut table.slots)
         };
         self.shut();
-        for slot in slots.into_values() {
-            let input = match slot.purpose {
-                Purpose::Attempt(key) => Input::Returned { key, returned: Returned::Broke(slot.progress) },
-                Purpose::Probe(member) => {
-                    Input::Probed { member, outcome: slot.progress.broken(), latency: 0.0 }
-                }
-                Purpose::GivenUp => continue,
-            };
-            let _ = inputs.send(input);
-        }
+        slots.into_values().for_each(|slot| end(slot.purpose, slot.progress, inputs));
     }
 
     fn write(
@@ -211,6 +206,13 @@
                     return;
                 }
                 let Some(slot) = table.slots.get_mut(&tag) else { continue };
+                if slot.progress == Progress::NotConnected && slot.since.elapsed() > STALE {
+                    let (purpose, progress) = (slot.purpose, slot.progress);
+                    table.slots.remove(&tag);
+                    drop(table);
+                    end(purpose, progress, inputs);
+                    continue;
+                }
                 if slot.progress == Progress::NotConnected {
                     slot.progress = Progress::PartlyWritten;
                 }
@@ -273,6 +275,16 @@
     }
 }
 
+/// Tells the engine that the connection has failed this.
+fn end(purpose: Purpose, progress: Progress, inputs: &Sender<Input>) {
+    let input = match purpose {
+        Purpose::Attempt(key) => Input::Returned { key, returned: Returned::Broke(progress) },
+        Purpose::Probe(member) => Input::Probed { member, outcome: progress.broken(), latency: 0.0 },
+        Purpose::GivenUp => return,
+    };
+    let _ = inputs.send(input);
+}
+
 /// What an answer means to the module.
 fn returned(answer: &Answer<'_>, bytes: Vec<u8>) -> Returned {
     let note = match answer.field("remark") {
--- a/front/src/lifecycle/edge.rs
+++ b/front/src/lifecycle/edge.rs
@@ -1,6 +1,7 @@
 //! The second front, DNS-based request routing: its file, what is in force, and how one becomes the other.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
@@ -172,6 +173,15 @@
     Http(SocketAddr),
 }
 
+impl fmt::Display for Listens {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Listens::Dns(at) => write!(f, "dns {at}"),
+            Listens::Http(at) => write!(f, "http {at}"),
+        }
+    }
+}
+
 enum Bound {
     Dns(DnsSockets),
     Http(std::net::TcpListener),
@@ -182,6 +192,14 @@
     at: SocketAddr,
 }
 
+impl Listener {
+    fn stop(&self) {
+        self.stop.store(true, Relaxed);
+        // Wakes the thread that waits in accept.
+        let _ = std::net::TcpStream::connect(self.at);
+    }
+}
+
 /// The running second front.
 pub struct Edge {
     name: String,
@@ -223,27 +241,33 @@
         let own = to.front.iter().find(|f| f.name == self.name).cloned().unwrap_or_default();
         let dns = own.dns.into_iter().map(Listens::Dns);
         let wanted: BTreeSet<Listens> = dns.chain(own.http.into_iter().map(Listens::Http)).collect();
-        // All is bound before anything is changed: an address that can't be had leaves the old state as it was.
+        // All is bound and started before anything is changed: what can't be had leaves the old state as it was.
         let mut bound = Vec::new();
         for listens in wanted.iter().filter(|w| !listeners.contains_key(w)) {
             let got = match listens {
                 Listens::Dns(at) => DnsSockets::bind(*at).map(Bound::Dns),
                 Listens::Http(at) => std::net::TcpListener::bind(at).map(Bound::Http),
             };
-            bound.push((*listens, got.map_err(|e| format!("{listens:?}: {e}"))?));
+            bound.push((*listens, got.map_err(|e| format!("{listens}: {e}"))?));
         }
-        let fresh = to.upstream.iter().filter(|u| self.in_force.resolver_for(u).is_none()).cloned().collect();
-        *self.in_force.0.write().unwrap_or_else(|p| p.into_inner()) = Arc::new((to, zone));
+        let mut started = Vec::new();
         for (listens, sockets) in bound {
-            listeners.insert(listens, self.start(sockets)?);
+            match self.start(sockets) {
+                Ok(listener) => started.push((listens, listener)),
+                Err(why) => {
+                    started.iter().for_each(|(_, listener)| listener.stop());
+                    return Err(why);
+                }
+            }
         }
+        listeners.extend(started);
+        let fresh = to.upstream.iter().filter(|u| self.in_force.resolver_for(u).is_none()).cloned().collect();
+        *self.in_force.0.write().unwrap_or_else(|p| p.into_inner()) = Arc::new((to, zone));
         listeners.retain(|listens, listener| {
             let keep = wanted.contains(listens);
             if !keep {
-                listener.stop.store(true, Relaxed);
-                // Wakes the thread that waits in accept.
-                let _ = std::net::TcpStream::connect(listener.at);
-                eprintln!("edge: no longer on {listens:?}");
+                listener.stop();
+                eprintln!("edge: no longer on {listens}");
             }
             keep
         });
