Count a request as whole from before its write; write what has queued up at once

client/connection.rs marked an attempt Whole only after write_all had returned. The reader thread can see the node break the connection in between, and close() then took a signup that the node had whole for one partly written, which may be sent again: two runs. It counts as whole from before the write now, and only a write that falls short of its last byte proves less (admit, write_counted). Found by reading; the window is too small to be played from outside.

Queued frames and answers now go out in one write, to spare calls on both sides under load.

--- a/front/src/client/connection.rs
+++ b/front/src/client/connection.rs
@@ -29,6 +29,9 @@
 /// and drains that may have been told since, and these bind what is sent from 1 s and 2 s on.
 const STALE: Duration = Duration::from_millis(700);
 
+/// Bytes that one write takes together, about.
+const BATCH: usize = 64 * 1024;
+
 /// What an answer on this connection belongs to.
 #[derive(Clone, Copy, Debug)]
 enum Purpose {
@@ -199,34 +202,56 @@
         if started.is_err() {
             return;
         }
-        while let Ok((tag, frame)) = queue.recv() {
-            {
-                let mut table = self.table();
-                if table.closed {
-                    return;
-                }
-                let Some(slot) = table.slots.get_mut(&tag) else { continue };
-                if slot.progress == Progress::NotConnected && slot.since.elapsed() > STALE {
-                    let (purpose, progress) = (slot.purpose, slot.progress);
-                    table.slots.remove(&tag);
-                    drop(table);
-                    end(purpose, progress, inputs);
-                    continue;
-                }
-                if slot.progress == Progress::NotConnected {
-                    slot.progress = Progress::PartlyWritten;
+        // What has queued up goes out in one write: under load that saves both sides most of their calls.
+        let (mut bytes, mut frames) = (Vec::new(), Vec::new());
+        while let Ok(first) = queue.recv() {
+            bytes.clear();
+            frames.clear();
+            let mut next = Some(first);
+            while let Some((tag, frame)) = next {
+                match self.admit(&tag, inputs) {
+                    Admitted::Closed => return,
+                    Admitted::Skipped => {}
+                    Admitted::Yes => {
+                        bytes.extend_from_slice(&frame);
+                        frames.push((tag, bytes.len()));
+                    }
                 }
+                next = if bytes.len() < BATCH { queue.try_recv().ok() } else { None };
             }
-            if (&*stream).write_all(&frame).is_err() {
+            let written = write_counted(&stream, &bytes);
+            if written < bytes.len() {
+                let mut table = self.table();
+                for (tag, _) in frames.iter().filter(|(_, end)| *end > written) {
+                    table.slots.entry(tag.clone()).and_modify(|s| s.progress = Progress::PartlyWritten);
+                }
                 return;
             }
-            let mut table = self.table();
-            if let Some(slot) = table.slots.get_mut(&tag).filter(|s| s.progress == Progress::PartlyWritten) {
-                slot.progress = Progress::Whole;
-            }
         }
     }
 
+    /// Whether a frame is to be written. It counts as whole from before its write: the node may act on its last
+    /// byte, and break the connection, before this thread runs again. Only a write that falls short proves less.
+    fn admit(&self, tag: &Token, inputs: &Sender<Input>) -> Admitted {
+        let mut table = self.table();
+        if table.closed {
+            return Admitted::Closed;
+        }
+        let Some(slot) = table.slots.get_mut(tag) else { return Admitted::Skipped };
+        if slot.progress != Progress::NotConnected {
+            return Admitted::Yes;
+        }
+        if slot.since.elapsed() > STALE {
+            let (purpose, progress) = (slot.purpose, slot.progress);
+            table.slots.remove(tag);
+            drop(table);
+            end(purpose, progress, inputs);
+            return Admitted::Skipped;
+        }
+        slot.progress = Progress::Whole;
+        Admitted::Yes
+    }
+
     fn read(&self, stream: &TcpStream, inputs: &Sender<Input>) {
         let mut reader = BufReader::with_capacity(16 * 1024, stream);
         let mut line = Vec::new();
@@ -275,6 +300,26 @@
     }
 }
 
+enum Admitted {
+    Yes,
+    Skipped,
+    Closed,
+}
+
+/// How many bytes went out before the connection failed, or all.
+fn write_counted(mut stream: &TcpStream, bytes: &[u8]) -> usize {
+    let mut written = 0;
+    while written < bytes.len() {
+        match stream.write(&bytes[written..]) {
+            Ok(0) => break,
+            Ok(n) => written += n,
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(_) => break,
+        }
+    }
+    written
+}
+
 /// Tells the engine that the connection has failed this.
 fn end(purpose: Purpose, progress: Progress, inputs: &Sender<Input>) {
     let input = match purpose {
