Do not end after SIGTERM before the last answer is written

The drain ended once the engine had answered all; an answer given past the first second could still be in its writer's queue when the program ended, and was lost. A request now holds a guard from its last byte until its answer is written, on both fronts, and the drain waits for these too (memory/counters.rs Unwritten). Found by reading lifecycle/serve.rs drain.

--- a/front/src/memory/counters.rs
+++ b/front/src/memory/counters.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::Arc;
 
 use elmtide::Outcome;
 
@@ -17,6 +18,7 @@
     pub failed: AtomicU64,
     pub abandoned: AtomicU64,
     pub open: AtomicU64,
+    unwritten: AtomicU64,
     pub sent: AtomicU64,
     pub client_connections: AtomicU64,
     pub node_connections: AtomicU64,
@@ -26,10 +28,11 @@
 }
 
 impl Counters {
-    /// Whether each request that was taken has had its end.
+    /// Whether each request that was taken has had its end, and that has been written.
     pub fn all_answered(&self) -> bool {
         let ended = [&self.served, &self.refused, &self.failed, &self.abandoned];
-        self.taken.load(Relaxed) == ended.iter().map(|c| c.load(Relaxed)).sum::<u64>()
+        let ended = ended.iter().map(|c| c.load(Relaxed)).sum::<u64>();
+        self.taken.load(Relaxed) == ended && self.unwritten.load(Relaxed) == 0
     }
 
     pub fn outcome(&self, outcome: Outcome) {
@@ -71,3 +74,21 @@
         Ok(())
     }
 }
+
+/// Held from a request's last byte until its answer is written: the program does not end in between, when the
+/// engine is done with the request but its client is not.
+#[derive(Debug)]
+pub struct Unwritten(Arc<Counters>);
+
+impl Unwritten {
+    pub fn new(counters: &Arc<Counters>) -> Unwritten {
+        counters.unwritten.fetch_add(1, Relaxed);
+        Unwritten(counters.clone())
+    }
+}
+
+impl Drop for Unwritten {
+    fn drop(&mut self) {
+        self.0.unwritten.fetch_sub(1, Relaxed);
+    }
+}
--- a/front/src/server/fastcgi.rs
+++ b/front/src/server/fastcgi.rs
@@ -13,6 +13,7 @@
 
 use crate::exchange::{Answer, Input, Responder, Token};
 use crate::lifecycle::{clock, spawn};
+use crate::memory::counters::Unwritten;
 use crate::server::{Fields, Intake};
 use crate::wire::fastcgi::{self, Malformed, Pairs, ProtocolStatus, Record};
 
@@ -54,10 +55,11 @@
 }
 
 /// Requests handed in and not answered yet, and whether the connection closes after the answer.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 struct Open {
     request: Option<RequestId>,
     keep: bool,
+    _unwritten: Unwritten,
 }
 
 type OpenTable = Arc<Mutex<HashMap<u16, Open>>>;
@@ -106,11 +108,10 @@
     // Room for each request that may be open and for what the reader says beside.
     let (deliveries, answers) = bounded(OPEN);
     let (raw, raws) = bounded(OPEN);
-    let (writer_stream, writer_open, counters) = (stream.clone(), open.clone(), intake.clone());
+    let (writer_stream, writer_open) = (stream.clone(), open.clone());
     let writer = spawn("client-writer", move || {
         write(&writer_stream, &answers, &raws, &writer_open);
         let _ = writer_stream.shutdown(Shutdown::Both);
-        drop(counters);
     });
     if writer.is_err() {
         return;
@@ -224,7 +225,7 @@
 
     fn abort(&mut self, id: u16) -> Result<(), Broken> {
         let (half, open) = (self.half.remove(&id), lock(&self.open).remove(&id));
-        if let Some(request) = open.and_then(|o| o.request) {
+        if let Some(request) = open.as_ref().and_then(|o| o.request) {
             let _ = self.intake.inputs.send(Input::Abandoned(request));
         }
         let Some(keep) = half.map(|h| h.keep).or(open.map(|o| o.keep)) else {
@@ -281,7 +282,9 @@
         let class = std::str::from_utf8(path).ok().and_then(|p| p.strip_prefix(API));
         fields.class = class.unwrap_or("").to_owned();
         // Open before the engine hears of it: the answer may be faster than this thread.
-        lock(&self.open).insert(id, Open { request: None, keep: half.keep });
+        let unwritten = Unwritten::new(&self.intake.counters);
+        let open = Open { request: None, keep: half.keep, _unwritten: unwritten };
+        lock(&self.open).insert(id, open);
         let deliveries = self.deliveries.clone();
         let responder = Responder::new(move |answer| {
             // There is room for every request that may be open: where there is none, the client is past help.
@@ -298,8 +301,9 @@
 }
 
 fn write(mut stream: &TcpStream, answers: &Receiver<Delivery>, raws: &Receiver<Raw>, open: &OpenTable) {
-    let mut bytes = Vec::new();
+    let (mut bytes, mut answered) = (Vec::new(), Vec::new());
     loop {
+        answered.clear();
         let first = crossbeam_channel::select! {
             recv(answers) -> got => got.map(Out::Deliver),
             recv(raws) -> got => got.map(Out::Raw),
@@ -318,6 +322,7 @@
                     if let Some(asked) = lock(open).remove(&delivery.slot) {
                         answer(&mut bytes, &delivery);
                         last |= !asked.keep;
+                        answered.push(asked);
                     }
                 }
             }
--- a/front/src/server/http.rs
+++ b/front/src/server/http.rs
@@ -13,6 +13,7 @@
 use crate::exchange::{Answer, Input, Responder, Token};
 use crate::lifecycle::edge::InForce;
 use crate::lifecycle::{clock, spawn};
+use crate::memory::counters::Unwritten;
 use crate::memory::ledger::{Entered, Ledger};
 use crate::server::{Fields, Intake};
 use crate::wire::http::{self, Body, RequestHead};
@@ -100,6 +101,7 @@
             match self.read_request() {
                 Ok(Some((head, body))) => {
                     let keep = head.keep;
+                    let _unwritten = Unwritten::new(&self.site.intake.counters);
                     let Some(reply) = self.answer(&head, body) else { return };
                     if !self.send(&reply, keep, head.method == "HEAD") || !keep {
                         return;
