--- a/front/src/client/connection.rs
+++ b/front/src/client/connection.rs
@@ -29,9 +29,6 @@
 /// and drains that may have been told since, and these bind what is sent from 1 s and 2 s on.
 const STALE: Duration = Duration::from_millis(700);
 
-/// Bytes that one write takes together, about.
-const BATCH: usize = 64 * 1024;
-
 /// What an answer on this connection belongs to.
 #[derive(Clone, Copy, Debug)]
 enum Purpose {
@@ -202,29 +199,14 @@
         if started.is_err() {
             return;
         }
-        // What has queued up goes out in one write: under load that saves both sides most of their calls.
-        let (mut bytes, mut frames) = (Vec::new(), Vec::new());
-        while let Ok(first) = queue.recv() {
-            bytes.clear();
-            frames.clear();
-            let mut next = Some(first);
-            while let Some((tag, frame)) = next {
-                match self.admit(&tag, inputs) {
-                    Admitted::Closed => return,
-                    Admitted::Skipped => {}
-                    Admitted::Yes => {
-                        bytes.extend_from_slice(&frame);
-                        frames.push((tag, bytes.len()));
-                    }
-                }
-                next = if bytes.len() < BATCH { queue.try_recv().ok() } else { None };
+        while let Ok((tag, frame)) = queue.recv() {
+            match self.admit(&tag, inputs) {
+                Admitted::Closed => return,
+                Admitted::Skipped => continue,
+                Admitted::Yes => {}
             }
-            let written = write_counted(&stream, &bytes);
-            if written < bytes.len() {
-                let mut table = self.table();
-                for (tag, _) in frames.iter().filter(|(_, end)| *end > written) {
-                    table.slots.entry(tag.clone()).and_modify(|s| s.progress = Progress::PartlyWritten);
-                }
+            if write_counted(&stream, &frame) < frame.len() {
+                self.table().slots.entry(tag).and_modify(|s| s.progress = Progress::PartlyWritten);
                 return;
             }
         }
--- a/front/src/server/fastcgi.rs
+++ b/front/src/server/fastcgi.rs
@@ -23,8 +23,6 @@
 const LONGEST_BODY: usize = 64 * 1024;
 /// A client that takes in nothing for so long is given up.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Bytes that one write takes together, about.
-const BATCH: usize = 256 * 1024;
 const HEALTH: &[u8] = b"/-/healthy";
 const API: &str = "/api/v2/";
 
@@ -301,46 +299,28 @@
 }
 
 fn write(mut stream: &TcpStream, answers: &Receiver<Delivery>, raws: &Receiver<Raw>, open: &OpenTable) {
-    let (mut bytes, mut answered) = (Vec::new(), Vec::new());
     loop {
-        answered.clear();
-        let first = crossbeam_channel::select! {
+        let out = crossbeam_channel::select! {
             recv(answers) -> got => got.map(Out::Deliver),
             recv(raws) -> got => got.map(Out::Raw),
         };
-        let (Ok(mut out), mut last) = (first, false) else { return };
-        bytes.clear();
-        // What has queued up goes out in one write.
-        loop {
-            match out {
-                Out::Raw(raw) => {
-                    bytes.extend_from_slice(&raw.bytes);
-                    last |= raw.last;
-                }
+        let (bytes, last, _unwritten) = match out {
+            Ok(Out::Raw(raw)) => (raw.bytes, raw.last, None),
+            Ok(Out::Deliver(delivery)) => {
                 // One that was aborted meanwhile has had its END_REQUEST.
-                Out::Deliver(delivery) => {
-                    if let Some(asked) = lock(open).remove(&delivery.slot) {
-                        answer(&mut bytes, &delivery);
-                        last |= !asked.keep;
-                        answered.push(asked);
-                    }
-                }
-            }
-            if last || bytes.len() >= BATCH {
-                break;
-            }
-            match answers.try_recv().map(Out::Deliver).or_else(|_| raws.try_recv().map(Out::Raw)) {
-                Ok(more) => out = more,
-                Err(_) => break,
+                let Some(asked) = lock(open).remove(&delivery.slot) else { continue };
+                (answer(&delivery), !asked.keep, Some(asked))
             }
-        }
+            Err(_) => return,
+        };
         if stream.write_all(&bytes).is_err() || last {
             return;
         }
     }
 }
 
-fn answer(out: &mut Vec<u8>, delivery: &Delivery) {
+fn answer(delivery: &Delivery) -> Vec<u8> {
+    let mut out = Vec::new();
     let nothing: &[u8] = &[];
     let (head, body) = match &delivery.answer {
         Answer::Served(copy) if copy.client_has_it => {
@@ -359,6 +339,7 @@
         }
         Answer::Failed => ("Status: 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n".to_owned(), nothing),
     };
-    fastcgi::stdout(out, delivery.slot, head.as_bytes(), body);
-    fastcgi::end_request(out, delivery.slot, 0, ProtocolStatus::RequestComplete);
+    fastcgi::stdout(&mut out, delivery.slot, head.as_bytes(), body);
+    fastcgi::end_request(&mut out, delivery.slot, 0, ProtocolStatus::RequestComplete);
+    out
 }
