Take a new bus address over at SIGHUP; keep reading the bus through stops and stalls

A process that is stopped and goes on gets EINTR from every read with a time limit; bus.rs took it for a failure and connected anew, up to 500 ms each time. http.rs closed its client over the same. Also found by reading: a chunk size near 2^64 overflowed 'end + 2' in wire/http.rs, and the panic would have ended the bus thread for good; the silence limit began anew with each byte, so half an event could hold a read for long.

Now: SIGHUP reads and checks the whole file, moves the bus by shutting the read under way and asking the new address from the last number; a bad file or another front's changes nothing and is logged. A response has a time limit as a whole, 700 ms from its first byte; the wait asked for is 1 s instead of 2 s, since what is announced counts as told 2 s after its end.

--- a/front/src/client/bus.rs
+++ b/front/src/client/bus.rs
@@ -1,11 +1,12 @@
 //! Follows the event bus: reads on from the last event it has, for as long as the front runs.
 
 use std::collections::BTreeMap;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::Ordering::Relaxed;
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
 
 use crossbeam_channel::Sender;
 use elmtide::{Availability, CellId, Event, KindId, ListNews, Listing, ObjectId, PurgeGroup, ZoneId};
@@ -16,14 +17,16 @@
 use crate::wire::bus::{self, Batch, Server, State};
 use crate::wire::http::{self, Body};
 
-/// What is announced counts as told after 7 s at the latest, heard or not. A read is held for less than that,
-/// so that a bus gone silent is noticed and asked again in time.
-const HOLD_MS: u64 = 2000;
-const SILENCE: Duration = Duration::from_millis(HOLD_MS + 700);
+/// What is announced counts as told 2 s after the end of the wait that was asked for, heard or not. The wait is
+/// short, so that a bus gone silent is noticed and asked again before that.
+const HOLD_MS: u64 = 1000;
+const SILENCE: Duration = Duration::from_millis(HOLD_MS + 400);
+/// A response that has begun is whole within this: the bus may stop in the middle of an event and stay open.
+const WHOLE: Duration = Duration::from_millis(700);
 const CONNECT: Duration = Duration::from_millis(500);
 const PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
 /// A response longer than this is none of the bus's.
-const LONGEST: usize = 4 << 20;
+const LONGEST: usize = 1 << 20;
 
 /// Places of the settings' names, as the module counts them.
 #[derive(Clone, Debug, Default)]
@@ -118,51 +121,110 @@
         Ok(true)
     }
 
-    /// Reads on for good.
-    pub fn follow(mut self, addr: SocketAddr) {
+    /// Reads on for good, wherever the bus is.
+    pub fn follow(mut self, bus: &Whereabouts) {
         let mut pause = PAUSE.0;
         loop {
-            let failed = match self.read_on(addr, &mut pause) {
+            let addr = bus.now();
+            // A panic must not end the hearing of purges and drains for good.
+            let run = AssertUnwindSafe(|| self.read_on(addr, bus, &mut pause));
+            let failed = match catch_unwind(run).unwrap_or_else(|_| Err("a panic".into())) {
                 Ok(()) => return,
                 Err(why) => why,
             };
+            if bus.now() != addr {
+                pause = PAUSE.0;
+                continue;
+            }
             self.counters.bus_failures.fetch_add(1, Relaxed);
             eprintln!("bus: {failed}; asking again in {} ms", pause.as_millis());
-            std::thread::sleep(pause);
+            bus.wait(addr, pause);
             pause = (pause * 2).min(PAUSE.1);
         }
     }
 
-    fn read_on(&mut self, addr: SocketAddr, pause: &mut Duration) -> Result<(), String> {
-        let failed = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
-        let mut stream = TcpStream::connect_timeout(&addr, CONNECT).map_err(failed("connect"))?;
-        let _ = stream.set_nodelay(true);
-        stream.set_read_timeout(Some(SILENCE)).map_err(failed("timeout"))?;
-        stream.set_write_timeout(Some(CONNECT)).map_err(failed("timeout"))?;
+    fn read_on(&mut self, addr: SocketAddr, bus: &Whereabouts, pause: &mut Duration) -> Result<(), String> {
+        let failed = |what: &'static str| move |e: io::Error| format!("{what}: {e}");
         let host = addr.to_string();
-        let mut bytes = Vec::new();
         loop {
-            let request = bus::read_request(&host, self.last, HOLD_MS);
-            stream.write_all(request.as_bytes()).map_err(failed("write"))?;
-            let (body, keep) = response(&mut stream, &mut bytes)?;
-            let value = serde_json::from_slice(&body).map_err(|e| format!("no JSON: {e}"))?;
-            if !self.apply(bus::batch(&value))? {
-                return Ok(());
+            let stream = TcpStream::connect_timeout(&addr, CONNECT).map_err(failed("connect"))?;
+            let _ = stream.set_nodelay(true);
+            stream.set_write_timeout(Some(CONNECT)).map_err(failed("timeout"))?;
+            let stream = Arc::new(stream);
+            if !bus.reads(addr, &stream) {
+                return Err("the bus has moved".into());
             }
-            *pause = PAUSE.0;
-            if !keep {
-                stream = TcpStream::connect_timeout(&addr, CONNECT).map_err(failed("connect"))?;
-                stream.set_read_timeout(Some(SILENCE)).map_err(failed("timeout"))?;
-                bytes.clear();
+            let mut bytes = Vec::new();
+            loop {
+                let request = bus::read_request(&host, self.last, HOLD_MS);
+                (&*stream).write_all(request.as_bytes()).map_err(failed("write"))?;
+                let (body, keep) = response(&stream, &mut bytes)?;
+                let value = serde_json::from_slice(&body).map_err(|e| format!("no JSON: {e}"))?;
+                if !self.apply(bus::batch(&value))? {
+                    return Ok(());
+                }
+                *pause = PAUSE.0;
+                if !keep {
+                    break;
+                }
             }
         }
     }
 }
 
+/// Where the bus is. A new configuration moves it while it is being read.
+#[derive(Debug)]
+pub struct Whereabouts {
+    state: Mutex<(SocketAddr, Option<Arc<TcpStream>>)>,
+    moved: Condvar,
+}
+
+impl Whereabouts {
+    pub fn new(addr: SocketAddr) -> Whereabouts {
+        Whereabouts { state: Mutex::new((addr, None)), moved: Condvar::new() }
+    }
+
+    fn state(&self) -> MutexGuard<'_, (SocketAddr, Option<Arc<TcpStream>>)> {
+        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    pub fn now(&self) -> SocketAddr {
+        self.state().0
+    }
+
+    /// False if the bus has moved since this address was taken.
+    fn reads(&self, addr: SocketAddr, stream: &Arc<TcpStream>) -> bool {
+        let mut state = self.state();
+        state.1 = Some(stream.clone());
+        state.0 == addr
+    }
+
+    /// Waits, but no longer than the bus stays there.
+    fn wait(&self, addr: SocketAddr, pause: Duration) {
+        let here = |state: &mut (SocketAddr, Option<Arc<TcpStream>>)| state.0 == addr;
+        drop(self.moved.wait_timeout_while(self.state(), pause, here));
+    }
+
+    /// Moves it; what is being read at the old address ends at once. False if it is there already.
+    pub fn move_to(&self, addr: SocketAddr) -> bool {
+        let mut state = self.state();
+        if state.0 == addr {
+            return false;
+        }
+        state.0 = addr;
+        if let Some(stream) = state.1.take() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        self.moved.notify_all();
+        true
+    }
+}
+
 /// Reads one response: its body, and whether the connection goes on.
-fn response(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Result<(Vec<u8>, bool), String> {
+fn response(mut stream: &TcpStream, bytes: &mut Vec<u8>) -> Result<(Vec<u8>, bool), String> {
     let mut chunk = [0; 8192];
     let mut ended = false;
+    let mut until = Instant::now() + SILENCE;
     loop {
         if let Some(head) = http::response_head(bytes)? {
             let rest = &bytes[head.size..];
@@ -186,7 +248,19 @@
         if bytes.len() > LONGEST {
             return Err("a response is too long".into());
         }
-        let got = stream.read(&mut chunk).map_err(|e| format!("read: {e}"))?;
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err("silent".into());
+        }
+        stream.set_read_timeout(Some(left)).map_err(|e| format!("timeout: {e}"))?;
+        let got = match stream.read(&mut chunk) {
+            // A process that is stopped and goes on sees Interrupted on every read that has a time limit.
+            Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::WouldBlock) => continue,
+            got => got.map_err(|e| format!("read: {e}"))?,
+        };
+        if bytes.is_empty() {
+            until = Instant::now() + WHOLE;
+        }
         ended = got == 0;
         bytes.extend_from_slice(&chunk[..got]);
     }
--- a/front/src/lifecycle/mod.rs
+++ b/front/src/lifecycle/mod.rs
@@ -5,6 +5,7 @@
 pub mod control;
 pub mod edge;
 pub mod plan;
+pub mod reload;
 pub mod serve;
 
 use std::io;
--- /dev/null
+++ b/front/src/lifecycle/reload.rs
@@ -0,0 +1,42 @@
+//! SIGHUP: a new configuration for a running front.
+
+use std::net::SocketAddr;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::sync::Arc;
+
+use crate::client::bus::Whereabouts;
+use crate::lifecycle::config::Config;
+
+/// What a running front can take over from its file, and what it can't.
+pub struct Reload<R> {
+    pub read: R,
+    pub name: String,
+    pub listen: SocketAddr,
+    pub bus: Arc<Whereabouts>,
+}
+
+impl<R: Fn() -> Result<Config, String>> Reload<R> {
+    /// Reads and checks the file whole before anything of it is in force: a bad one changes nothing.
+    pub fn run(&self) {
+        let taken = catch_unwind(AssertUnwindSafe(|| self.take_over()));
+        match taken.unwrap_or_else(|_| Err("a panic".into())) {
+            Ok(what) => eprintln!("reload: {what}"),
+            Err(why) => eprintln!("reload: nothing changes: {why}"),
+        }
+    }
+
+    /// Requests go on undisturbed; the event bus is read on from the last number at its new address.
+    fn take_over(&self) -> Result<String, String> {
+        let config = (self.read)()?;
+        if config.name != self.name {
+            return Err(format!("the file is for {}, this is {}", config.name, self.name));
+        }
+        if config.listen != self.listen {
+            eprintln!("reload: listen is {} from the next start on", config.listen);
+        }
+        Ok(match self.bus.move_to(config.bus) {
+            true => format!("the bus is at {}", config.bus),
+            false => format!("the bus stays at {}", config.bus),
+        })
+    }
+}
--- a/front/src/lifecycle/serve.rs
+++ b/front/src/lifecycle/serve.rs
@@ -7,15 +7,16 @@
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{bounded, tick, Receiver};
-use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
 
-use crate::client::bus::Feed;
+use crate::client::bus::{Feed, Whereabouts};
 use crate::client::pool::Pool;
 use crate::client::resolver::Resolved;
 use crate::engine::Engine;
 use crate::exchange::Input;
 use crate::lifecycle::edge::{Edge, EdgeConfig};
+use crate::lifecycle::reload::Reload;
 use crate::lifecycle::{clock, config::Config, control, spawn};
 use crate::memory::counters::Counters;
 use crate::memory::ledger::Ledger;
@@ -33,9 +34,15 @@
     pub control: Option<PathBuf>,
 }
 
-pub fn serve(config: Config, second: &Second) -> Result<(), String> {
+/// Runs the front. `read` reads the configuration, now and again at each SIGHUP.
+pub fn serve(
+    read: impl Fn() -> Result<Config, String> + Send + 'static,
+    second: &Second,
+) -> Result<(), String> {
+    let config = read()?;
     let started = clock::unix_ms();
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGUSR1]).map_err(|e| format!("signals: {e}"))?;
+    let mut signals =
+        Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
     let counters = Arc::new(Counters::default());
     let (inputs, events) = bounded(EVENTS);
     let listener =
@@ -50,8 +57,9 @@
     let engine = Engine::new(config.settings, config.seed, pool, counters.clone());
     let stopped = start_engine(engine, events)?;
     feed.apply(Ok((config.known, Vec::new())))?;
-    let bus = config.bus;
-    spawn("bus", move || feed.follow(bus)).map_err(|e| format!("bus thread: {e}"))?;
+    let bus = Arc::new(Whereabouts::new(config.bus));
+    let reload = Reload { read, name: config.name.clone(), listen: config.listen, bus: bus.clone() };
+    spawn("bus", move || feed.follow(&bus)).map_err(|e| format!("bus thread: {e}"))?;
 
     let intake = Arc::new(Intake::new(config.classes, inputs.clone(), counters.clone()));
     if second.file.exists() {
@@ -89,6 +97,7 @@
         for signal in signals.forever() {
             match signal {
                 SIGUSR1 => eprintln!("{shown}"),
+                SIGHUP => reload.run(),
                 _ => drop(term.try_send(())),
             }
         }
--- a/front/src/main.rs
+++ b/front/src/main.rs
@@ -68,7 +68,10 @@
         return Err(format!("not understood: {rest:?}\n\n{USAGE}"));
     }
     match command.as_deref() {
-        Some("serve") => lifecycle::serve::serve(load(config)?, &Second { file, control: control.clone() })?,
+        Some("serve") => {
+            let read = move || load(config.clone());
+            lifecycle::serve::serve(read, &Second { file, control: control.clone() })?
+        }
         Some("check") => {
             let config = load(config)?;
             println!("{}: {} classes, listens on {}", config.name, config.classes.len(), config.listen);
--- a/front/src/server/http.rs
+++ b/front/src/server/http.rs
@@ -133,6 +133,8 @@
         }
         match stream.read(&mut chunk) {
             Ok(got) if got > 0 => self.bytes.extend_from_slice(&chunk[..got]),
+            // A process that is stopped and goes on sees this on every read that has a time limit.
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
             _ => return false,
         }
         true
--- a/front/src/wire/http.rs
+++ b/front/src/wire/http.rs
@@ -48,7 +48,8 @@
             httparse::Status::Partial => return Ok(None),
             httparse::Status::Complete((used, size)) => {
                 let (start, size) = (at + used, usize::try_from(size).map_err(|e| e.to_string())?);
-                let end = start.checked_add(size).ok_or("a chunk is too long")?;
+                let end =
+                    start.checked_add(size).filter(|e| *e < usize::MAX - 2).ok_or("a chunk is too long")?;
                 if bytes.len() < end + 2 {
                     return Ok(None);
                 }
--- a/front/tests/common/mod.rs
+++ b/front/tests/common/mod.rs
@@ -87,10 +87,10 @@
 }
 
 impl Program {
-    /// Caches by name beside the origin `o-1` and the event bus `bus`; the second front if there is an edge file.
+    /// Caches by name beside the origin `o-1` and the event bus `bus` (and a second one); the second front if there is an edge file.
     pub fn start(caches: &[&str], edge: Option<&str>) -> Program {
         let folder = folder();
-        let names = caches.iter().copied().chain(["o-1", "bus"]);
+        let names = caches.iter().copied().chain(["o-1", "bus", "bus2"]);
         let listeners: BTreeMap<String, TcpListener> =
             names.map(|n| (n.to_owned(), TcpListener::bind("127.0.0.1:0").unwrap())).collect();
         let addr = |name: &str| listeners[name].local_addr().unwrap();
@@ -145,6 +145,19 @@
         (out.status.code(), String::from_utf8_lossy(&text).into_owned())
     }
 
+    /// Puts one text for another in the configuration file.
+    pub fn spoil(&self, from: &str, to: &str) {
+        let file = self.folder.join("config.json");
+        let text = std::fs::read_to_string(&file).unwrap().replace(from, to);
+        std::fs::write(file, text).unwrap();
+    }
+
+    /// Puts the event bus of the configuration file at another stand-in.
+    pub fn move_bus(&self, from: &str, to: &str) {
+        let bus = |n| format!(r#""bus":"{}""#, self.listeners[n].local_addr().unwrap());
+        self.spoil(&bus(from), &bus(to));
+    }
+
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
         assert!(status.unwrap().success());
--- a/front/tests/play.rs
+++ b/front/tests/play.rs
@@ -2,7 +2,7 @@
 //!
 //! A line is a step: `caches NAME...`, `edge` (a file, up to `end`, with `@NAME` for a stand-in's address); `connect C [http N | dns]`, `udp C`;
 //! `accept C NAME` at a stand-in; `C > bytes` sends, `C < bytes` expects, `C close`, `C closed`;
-//! `signal NAME`, `exit CODE`, `log TEXT`, `run CODE ARGS` and, under it, `| TEXT` that its output holds.
+//! `move FROM TO` (the bus, in the configuration file), `spoil TEXT BY` (in that file), `signal NAME`, `exit CODE`, `log TEXT`, `run CODE ARGS` and, under it, `| TEXT` that its output holds.
 //! In bytes `{d}` is a number, `{N}` any N bytes, `{c*N}` N times the character, `\r \n \xHH` as in Rust.
 
 mod common;
@@ -182,6 +182,8 @@
         ["accept", name, at] => {
             peers.insert(name, Peer::tcp(common::accept(&program.listeners[at])));
         }
+        ["move", from, to] => program.move_bus(from, to),
+        ["spoil", from, to] => program.spoil(from, to),
         ["signal", name] => program.signal(name),
         ["exit", code] => {
             assert_eq!(program.child.wait().unwrap().code(), code.parse().ok());
