Serve all client sockets by one thread, bounded and timed; refuse what can't be used

Clients that never bring a whole request held their connection for good (fastcgi.rs had no time limit for them). Profile (perf, 8 s): 82% of the samples in client-reader and client-writer threads, nearly all in the scheduler, with get_signal and arch_do_signal_or_restart: a front is held to its share by SIGSTOP and SIGCONT, and every stop wakes each of ~400 threads. So two threads a connection can't be had here, against the house style; the nearest thing: one thread, std sockets, epoll by rustix (no unsafe), answers left in its mailbox by a channel. Half a thread pool was ruled out: idle connections are nearly all, and each still needs a reader.

Now server/sockets moves bytes, server/fastcgi holds one conversation, server/clients bounds connections and open requests in all and for each address, evicts what asks for nothing (never what is owed an answer or has unread bytes), and closes what is not whole after 2.2 s or not taken in after 6 s. Bytes of requests have a budget of an eighth of the memory. Fields: digits only, ranges checked, doubled ones refused, ids and objects 16 hex digits; the id of an open request is refused (engine: nodes could not tell the two apart). A body too long is answered at once and dropped as it comes. An answer to a request given up is told apart by a serial number: the web server may use its number again at once, and could have been given the old answer for the new request. Log lines that clients can provoke are limited.

Tests: fastcgi_figures, _long_body, _silent, _room, _many; budget.

--- a/front/src/engine.rs
+++ b/front/src/engine.rs
@@ -153,8 +153,12 @@
             size_kb: incoming.size_kb,
             write: false, // the class tells
         };
-        self.alarms.push(Reverse((micros(incoming.deadline + BACKSTOP), Alarm::Deadline(incoming.id.0))));
-        self.exchanges.open(incoming);
+        let deadline = incoming.deadline;
+        if let Err(incoming) = self.exchanges.open(incoming) {
+            self.counters.failed.fetch_add(1, Relaxed);
+            return incoming.responder.answer(Answer::Failed);
+        }
+        self.alarms.push(Reverse((micros(deadline + BACKSTOP), Alarm::Deadline(request.id.0))));
         self.tell(Event::Request(request));
     }
 
--- a/front/src/exchange.rs
+++ b/front/src/exchange.rs
@@ -5,6 +5,7 @@
 use std::fmt;
 use std::sync::Arc;
 
+use crate::memory::budget::Held;
 use elmtide::{ClassId, FillMode, MemberId, Ms, Note, ObjectId, Outcome, PurgeGroup, RequestId, Try};
 
 /// A word of at most 64 letters, digits, `-`, `_` and `.`: it can stand in a line of words as it came.
@@ -33,6 +34,8 @@
     pub part: Token,
     pub seen: Option<Token>,
     pub body: Vec<u8>,
+    /// What the request holds of the bytes allowed to all.
+    pub _held: Held,
 }
 
 /// A request that has come whole, with the fields that decisions need.
--- a/front/src/lifecycle/config.rs
+++ b/front/src/lifecycle/config.rs
@@ -27,6 +27,7 @@
     pub bus: SocketAddr,
     pub seed: u64,
     pub sockets: usize,
+    pub memory: usize,
     pub names: Names,
     pub classes: Vec<Class>,
     pub known: Batch,
@@ -77,6 +78,7 @@
         let limit =
             |key: &str, usual: f64| told["Limits"][key].as_f64().filter(|v| *v > 0.0).unwrap_or(usual);
         let sockets = root["limits"]["sockets"].as_u64().unwrap_or(1024) as usize;
+        let memory = root["limits"]["memory_mb"].as_u64().filter(|mb| *mb > 0).unwrap_or(192) as usize;
         let pool = Limits {
             connect_timeout: Duration::from_secs_f64(limit("ConnectTimeoutMs", 400.0) / 1000.0),
             idle: Duration::from_secs_f64(limit("ConnIdleMs", 30_000.0) / 1000.0 * 0.6),
@@ -89,6 +91,7 @@
             bus: address(&root, "bus")?,
             seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed is {seed:?}"))?,
             sockets,
+            memory: memory << 20,
             names: Names { zones: names(told, "Zones"), kinds: names(told, "Kinds") },
             classes,
             known,
--- a/front/src/lifecycle/mod.rs
+++ b/front/src/lifecycle/mod.rs
@@ -4,6 +4,7 @@
 pub mod config;
 pub mod control;
 pub mod edge;
+pub mod log;
 pub mod plan;
 pub mod reload;
 pub mod serve;
--- a/front/src/lifecycle/serve.rs
+++ b/front/src/lifecycle/serve.rs
@@ -1,6 +1,7 @@
 //! Runs a front: start in order, ready, drain at SIGTERM, stop.
 
 use std::net::TcpListener;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::Arc;
@@ -18,13 +19,18 @@
 use crate::lifecycle::edge::{Edge, EdgeConfig};
 use crate::lifecycle::reload::Reload;
 use crate::lifecycle::{clock, config::Config, control, spawn};
+use crate::memory::budget::Budget;
 use crate::memory::counters::Counters;
 use crate::memory::ledger::Ledger;
+use crate::server::clients::Clients;
 use crate::server::http::Site;
-use crate::server::{fastcgi, Intake};
+use crate::server::sockets::Sockets;
+use crate::server::Intake;
 
 /// Events that wait for the engine at most; whoever brings more waits.
 const EVENTS: usize = 8192;
+/// The part of the memory that the bytes of requests may take.
+const BODIES: usize = 8;
 /// After SIGTERM new connections come for up to 0.4 s and requests for 0.2 s: the front stays at least so long.
 const STAY: Duration = Duration::from_millis(1000);
 
@@ -61,13 +67,18 @@
     let reload = Reload { read, name: config.name.clone(), listen: config.listen, bus: bus.clone() };
     spawn("bus", move || feed.follow(&bus)).map_err(|e| format!("bus thread: {e}"))?;
 
-    let intake = Arc::new(Intake::new(config.classes, inputs.clone(), counters.clone()));
+    let bodies = Budget::new(config.memory / BODIES);
+    let intake = Arc::new(Intake::new(config.classes, bodies, inputs.clone(), counters.clone()));
+    // The usual clients hold a third of the descriptors at most, connections to cache nodes another.
+    let clients = Clients::new(config.sockets / 2);
+    clients.watch().map_err(|e| format!("watch thread: {e}"))?;
     if second.file.exists() {
         let resolved = Resolved::new(config.names, inputs.clone());
         let ledger = Arc::new(Ledger::new(started, config.longest_deadline));
         let site = |in_force| Site {
             name: config.name.clone(),
             intake: intake.clone(),
+            clients: clients.clone(),
             ledger,
             in_force,
             seed: config.seed,
@@ -86,9 +97,14 @@
             eprintln!("edge: nothing is in force: {why}");
         }
     }
-    let most = config.sockets / 2;
-    spawn("accept", move || fastcgi::accept(&listener, &intake, most))
-        .map_err(|e| format!("accept thread: {e}"))?;
+    let sockets = Sockets::new(listener, clients, intake).map_err(|e| format!("epoll: {e}"))?;
+    let ended = inputs.clone();
+    let run = move || {
+        // Without this thread the program is deaf: it ends, and is started again.
+        let _ = catch_unwind(AssertUnwindSafe(|| sockets.run()));
+        let _ = ended.send(Input::Stop);
+    };
+    spawn("clients", run).map_err(|e| format!("clients' thread: {e}"))?;
     eprintln!("ready: {} listens on {at}, pid {}", config.name, std::process::id());
 
     let (term, terms) = bounded(1);
--- a/front/src/memory/counters.rs
+++ b/front/src/memory/counters.rs
@@ -13,6 +13,8 @@
 pub struct Counters {
     pub taken: AtomicU64,
     pub bad_requests: AtomicU64,
+    pub refused_early: AtomicU64,
+    pub broken_clients: AtomicU64,
     pub served: AtomicU64,
     pub refused: AtomicU64,
     pub failed: AtomicU64,
@@ -56,6 +58,8 @@
         let named = [
             ("taken", &self.taken),
             ("bad_requests", &self.bad_requests),
+            ("refused_early", &self.refused_early),
+            ("broken_clients", &self.broken_clients),
             ("served", &self.served),
             ("refused", &self.refused),
             ("failed", &self.failed),
--- a/front/src/memory/exchanges.rs
+++ b/front/src/memory/exchanges.rs
@@ -1,13 +1,13 @@
 //! The table of exchanges that are open or still have attempts out.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use elmtide::{Ms, RequestId, Try};
 
-use crate::exchange::{Answer, Incoming, Passed, Responder};
+use crate::exchange::{Answer, Incoming, Passed, Responder, Token};
 
-/// Exchanges held at most: with bodies of 48,000 bytes at the most these stay under 50 MB.
+/// Exchanges held at most; the bytes of their bodies have a budget of their own.
 const MOST: usize = 1024;
 
 #[derive(Debug)]
@@ -56,36 +56,48 @@
 }
 
 #[derive(Debug, Default)]
-pub struct Exchanges(HashMap<RequestId, Exchange>);
+pub struct Exchanges {
+    open: HashMap<RequestId, Exchange>,
+    jobs: HashSet<Token>,
+}
 
 impl Exchanges {
     pub fn is_full(&self) -> bool {
-        self.0.len() >= MOST
+        self.open.len() >= MOST
     }
 
-    pub fn open(&mut self, incoming: Incoming) {
-        self.0.insert(incoming.id, Exchange::new(incoming));
+    /// False where the request's id is that of another that is open: cache nodes could not tell the two apart,
+    /// and the answer to one could be given to the other.
+    pub fn open(&mut self, incoming: Incoming) -> Result<(), Incoming> {
+        if !self.jobs.insert(incoming.passed.job.clone()) {
+            return Err(incoming);
+        }
+        self.open.insert(incoming.id, Exchange::new(incoming));
+        Ok(())
     }
 
     pub fn get_mut(&mut self, id: RequestId) -> Option<&mut Exchange> {
-        self.0.get_mut(&id)
+        self.open.get_mut(&id)
     }
 
     /// Gives the final answer of an exchange; false if there has been one.
     pub fn answer(&mut self, id: RequestId, answer: Answer) -> bool {
-        let answered = self.0.get_mut(&id).is_some_and(|e| e.answer(answer));
+        let answered = self.open.get_mut(&id).is_some_and(|e| e.answer(answer));
         self.settle(id);
         answered
     }
 
     /// Forgets an exchange that is answered and has no attempt out.
     pub fn settle(&mut self, id: RequestId) {
-        if self.0.get(&id).is_some_and(|e| e.is_answered() && e.attempts.iter().all(Option::is_none)) {
-            self.0.remove(&id);
+        let over = |e: &Exchange| e.is_answered() && e.attempts.iter().all(Option::is_none);
+        if self.open.get(&id).is_some_and(over) {
+            if let Some(exchange) = self.open.remove(&id) {
+                self.jobs.remove(&exchange.passed.job);
+            }
         }
     }
 
     pub fn unanswered(&self) -> usize {
-        self.0.values().filter(|e| !e.is_answered()).count()
+        self.open.values().filter(|e| !e.is_answered()).count()
     }
 }
--- a/front/src/server/http.rs
+++ b/front/src/server/http.rs
@@ -11,17 +11,23 @@
 use elmtide::Ms;
 
 use crate::exchange::{Answer, Input, Responder, Token};
+use crate::lifecycle::config::Class;
 use crate::lifecycle::edge::InForce;
 use crate::lifecycle::{clock, spawn};
-use crate::memory::counters::Unwritten;
+use crate::memory::budget::Held;
 use crate::memory::ledger::{Entered, Ledger};
-use crate::server::{Fields, Intake};
+use crate::server::clients::{Client, Clients, REQUEST};
+use crate::server::{Field, Fields, Intake, Ready};
 use crate::wire::http::{self, Body, RequestHead};
 
-const CONNECTIONS: usize = 128;
 const LONGEST_BODY: usize = 48_000;
 /// A connection with no request on it, and one whose request does not come on, are closed after so long.
 const IDLE: Duration = Duration::from_secs(10);
+/// A request is whole so soon after its first byte; a little less than all that the connection has for it.
+const WHOLE: Duration = Duration::from_millis(REQUEST.as_millis() as u64 - 300);
+/// What still comes of a request that was turned away is counted and dropped, so far and so long: a close with
+/// bytes unread would take the answer away.
+const DROPPED: (u64, Duration) = (64 << 20, Duration::from_secs(5));
 /// So often a waiting thread looks whether its client is still there.
 const LOOK: Duration = Duration::from_millis(50);
 /// Past its deadline an answer is still waited for this long: the engine gives one by then.
@@ -32,6 +38,7 @@
 pub struct Site {
     pub name: String,
     pub intake: Arc<Intake>,
+    pub clients: Clients,
     pub ledger: Arc<Ledger>,
     pub in_force: Arc<InForce>,
     pub seed: u64,
@@ -44,7 +51,6 @@
 }
 
 fn accept(listener: &TcpListener, site: &Arc<Site>, stop: &Arc<AtomicBool>) {
-    let live = Arc::new(());
     for stream in listener.incoming() {
         if stop.load(Relaxed) {
             return;
@@ -53,18 +59,14 @@
             std::thread::sleep(Duration::from_millis(10));
             continue;
         };
-        if Arc::strong_count(&live) > CONNECTIONS {
-            eprintln!("http: {CONNECTIONS} connections are open, one more is closed");
-            continue;
-        }
-        let (site, stop, held) = (site.clone(), stop.clone(), live.clone());
+        let Some(admitted) = site.clients.admit(stream) else { continue };
+        let (site, stop) = (site.clone(), stop.clone());
         let served = spawn("http-client", move || {
-            let _held = held;
-            let run = || Connection { site: &site, stop: &stop, stream: &stream, bytes: Vec::new() }.serve();
+            let client = &admitted.client;
+            let run = || Connection { site: &site, stop: &stop, client, bytes: Vec::new() }.serve();
             if catch_unwind(AssertUnwindSafe(run)).is_err() {
                 eprintln!("http connection: dropped after a panic");
             }
-            let _ = stream.shutdown(Shutdown::Both);
         });
         if let Err(why) = served {
             eprintln!("http: no thread for a connection: {why}");
@@ -89,19 +91,25 @@
 struct Connection<'a> {
     site: &'a Site,
     stop: &'a AtomicBool,
-    stream: &'a TcpStream,
+    client: &'a Arc<Client>,
     bytes: Vec<u8>,
 }
 
 impl Connection<'_> {
     fn serve(&mut self) {
-        let _ = self.stream.set_nodelay(true);
-        let _ = self.stream.set_write_timeout(Some(IDLE));
+        let _ = self.client.stream().set_nodelay(true);
+        let _ = self.client.stream().set_write_timeout(Some(IDLE));
         while !self.stop.load(Relaxed) {
             match self.read_request() {
                 Ok(Some((head, body))) => {
                     let keep = head.keep;
-                    let _unwritten = Unwritten::new(&self.site.intake.counters);
+                    self.client.heard();
+                    self.client.brings(None);
+                    let Some(_owed) = self.client.open(&self.site.intake.counters) else {
+                        self.site.intake.counters.refused_early.fetch_add(1, Relaxed);
+                        self.send(&reply(&Answer::Refused { wait_ms: Some(500) }, false), false, false);
+                        return;
+                    };
                     let Some(reply) = self.answer(&head, body) else { return };
                     if !self.send(&reply, keep, head.method == "HEAD") || !keep {
                         return;
@@ -110,7 +118,9 @@
                 Ok(None) => return,
                 Err(refused) => {
                     self.site.intake.counters.bad_requests.fetch_add(1, Relaxed);
-                    self.send(&refused, false, false);
+                    if self.send(&refused, false, false) && refused.status == 413 {
+                        self.drop_rest();
+                    }
                     return;
                 }
             }
@@ -119,16 +129,33 @@
 
     fn send(&self, reply: &Response, keep: bool, head_only: bool) -> bool {
         let bytes = http::response(reply.status, &reply.headers, &reply.body, keep, head_only);
-        let mut stream = self.stream;
-        stream.write_all(&bytes).is_ok()
+        self.client.takes();
+        let mut stream: &TcpStream = self.client.stream();
+        let written = stream.write_all(&bytes).is_ok();
+        self.client.took();
+        written
+    }
+
+    fn drop_rest(&mut self) {
+        let _ = self.client.stream().shutdown(Shutdown::Write);
+        let (until, mut left) = (Instant::now() + DROPPED.1, DROPPED.0);
+        self.client.heard();
+        self.client.brings(None);
+        loop {
+            self.bytes.clear();
+            if !self.more(until) || self.bytes.len() as u64 > left {
+                return;
+            }
+            left -= self.bytes.len() as u64;
+        }
     }
 
     /// More bytes; false where there are no more.
     fn more(&mut self, until: Instant) -> bool {
         let left = until.saturating_duration_since(Instant::now());
         let mut chunk = [0; 8192];
-        let mut stream = self.stream;
-        if left.is_zero() || self.stream.set_read_timeout(Some(left)).is_err() {
+        let mut stream: &TcpStream = self.client.stream();
+        if left.is_zero() || stream.set_read_timeout(Some(left)).is_err() {
             return false;
         }
         match stream.read(&mut chunk) {
@@ -142,8 +169,12 @@
 
     /// The next request; `None` where the client has no more, an answer where it can't be read.
     fn read_request(&mut self) -> Result<Option<(RequestHead, Vec<u8>)>, Response> {
-        let until = Instant::now() + IDLE;
+        let (since, mut begun) = (Instant::now(), None);
         let head = loop {
+            let until = match self.bytes.is_empty() {
+                true => since + IDLE,
+                false => *begun.get_or_insert_with(Instant::now) + WHOLE,
+            };
             match http::request_head(&self.bytes) {
                 Ok(Some(head)) => break head,
                 Ok(None) if self.more(until) => {}
@@ -153,9 +184,10 @@
             }
         };
         if head.header("expect").is_some_and(|e| e.eq_ignore_ascii_case("100-continue")) {
-            let mut stream = self.stream;
+            let mut stream: &TcpStream = self.client.stream();
             let _ = stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
         }
+        let until = begun.unwrap_or_else(Instant::now) + WHOLE;
         loop {
             let rest = &self.bytes[head.size..];
             let whole = match head.body {
@@ -204,25 +236,37 @@
             reply.headers.push(("Allow", allowed.into()));
             return Some(reply);
         }
-        let word = |name: &str| head.header(name).and_then(|v| Token::new(v.as_bytes()));
-        let bare = |tag: &str| Token::new(tag.trim_start_matches("W/").trim_matches('"').as_bytes());
-        // A time that can't be read must not turn into the longest one: `min` would pass over a NaN.
-        let allow = head.header("x-allow-ms").map_or(Some(class.deadline), |v| v.parse().ok());
+        let field = |name: &str| {
+            let mut field = Field::Absent;
+            head.headers.iter().filter(|(n, _)| n == name).for_each(|(_, v)| field.put(v.as_bytes()));
+            field
+        };
+        let own_job = self.job();
+        let usual = class.deadline.to_string();
+        let seen = match head.header("if-none-match") {
+            Some(tag) if field("x-seen") == Field::Absent => {
+                Field::Once(tag.trim_start_matches("W/").trim_matches('"').as_bytes())
+            }
+            _ => field("x-seen"),
+        };
         let fields = Fields {
-            class: class.name.to_string(),
-            job: word("x-job-id").or_else(|| self.job()),
-            allow_ms: allow.filter(|ms: &f64| !ms.is_nan()).map(|ms| ms.min(class.deadline)),
-            item: word("x-item"),
-            part: word("x-slice"),
-            group: head.header("x-set").and_then(|v| v.parse().ok()),
-            size_kb: head.header("x-ram-kb").and_then(|v| v.parse().ok()),
-            seen: word("x-seen").or_else(|| head.header("if-none-match").and_then(bare)),
+            job: field("x-job-id").or(&own_job),
+            allow_ms: field("x-allow-ms").or(&usual),
+            item: field("x-item"),
+            part: field("x-slice"),
+            group: field("x-set"),
+            size_kb: field("x-ram-kb"),
+            seen,
         };
+        let mut held = self.site.intake.bodies.held();
+        if !held.grow(body.len()) {
+            return Some(reply(&Answer::Refused { wait_ms: Some(500) }, false));
+        }
         let conditional = head.header("if-none-match").is_some();
         if class.write {
-            return self.write_once(head, fields, body, came);
+            return self.write_once(head, class, fields, body, held, came);
         }
-        let Some(ready) = self.site.intake.ready(fields, body, came) else {
+        let Some(ready) = self.ready(class, &fields, body, held, came) else {
             return Some(Response::text(400, "X-Item, X-Slice or X-Allow-Ms can't be used"));
         };
         let deadline = ready.deadline;
@@ -240,7 +284,15 @@
     }
 
     /// A request that must never run twice. It runs once for its key, whether or not this client stays for it.
-    fn write_once(&self, head: &RequestHead, fields: Fields, body: Vec<u8>, came: Ms) -> Option<Response> {
+    fn write_once(
+        &self,
+        head: &RequestHead,
+        class: &Class,
+        fields: Fields<'_>,
+        body: Vec<u8>,
+        held: Held,
+        came: Ms,
+    ) -> Option<Response> {
         let key = head.header("idempotency-key").map(|k| Token::new(k.trim_matches('"').as_bytes()));
         let Some(Some(key)) = key else {
             return Some(Response::text(400, "an Idempotency-Key of 1 to 64 plain characters is needed"));
@@ -249,10 +301,9 @@
         if let Some(owner) = now.0.owner(key.as_str()).filter(|o| o.name != site.name) {
             return Some(Response::text(421, format!("front {} takes this key", owner.name)));
         }
-        let words = |token: &Option<Token>| token.as_ref().map(|t| t.as_str().to_owned());
-        let request = (&fields.class, words(&fields.item), words(&fields.part), fields.group, &body);
+        let request = (&class.name, fields.item, fields.part, fields.group, &body);
         let fingerprint = site.ledger.fingerprint(&request);
-        let Some(ready) = site.intake.ready(fields, body, came) else {
+        let Some(ready) = self.ready(class, &fields, body, held, came) else {
             return Some(Response::text(400, "X-Item, X-Slice or X-Allow-Ms can't be used"));
         };
         let deadline = ready.deadline;
@@ -291,20 +342,37 @@
     }
 
     fn client_left(&self) -> bool {
-        if self.stream.set_nonblocking(true).is_err() {
+        let stream = self.client.stream();
+        if stream.set_nonblocking(true).is_err() {
             return true;
         }
-        let seen = self.stream.peek(&mut [0]);
-        let blocking = self.stream.set_nonblocking(false);
+        let seen = stream.peek(&mut [0]);
+        let blocking = stream.set_nonblocking(false);
         let waits = |e: &io::Error| e.kind() == io::ErrorKind::WouldBlock;
         blocking.is_err() || matches!(seen, Ok(0)) || seen.is_err_and(|e| !waits(&e))
     }
 
+    /// Nobody here waits longer than the class allows: the ledger counts on it.
+    fn ready(
+        &self,
+        class: &Class,
+        fields: &Fields<'_>,
+        body: Vec<u8>,
+        held: Held,
+        came: Ms,
+    ) -> Option<Ready> {
+        let ready = self.site.intake.ready(&class.name, fields, body, held, came);
+        if ready.is_none() {
+            self.site.intake.counters.bad_requests.fetch_add(1, Relaxed);
+        }
+        ready.map(|r| Ready { deadline: r.deadline.min(came + class.deadline), ..r })
+    }
+
     /// An id for a request that has none: 16 hex digits, never the same again.
-    fn job(&self) -> Option<Token> {
+    fn job(&self) -> String {
         let next = self.site.jobs.fetch_add(1, Relaxed);
         let mixed = (self.site.seed ^ next.wrapping_mul(0x9E37_79B9_7F4A_7C15)).rotate_left(23);
-        Token::new(format!("{:016x}", mixed.wrapping_mul(0xBF58_476D_1CE4_E5B9)).as_bytes())
+        format!("{:016x}", mixed.wrapping_mul(0xBF58_476D_1CE4_E5B9))
     }
 }
 
--- a/front/src/server/mod.rs
+++ b/front/src/server/mod.rs
@@ -1,9 +1,12 @@
 //! Takes requests in.
 
+pub mod clients;
 pub mod dns;
 pub mod fastcgi;
 pub mod http;
+pub mod sockets;
 
+use std::str::FromStr;
 use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::sync::Arc;
 
@@ -12,63 +15,135 @@
 
 use crate::exchange::{Incoming, Input, Passed, Responder, Token};
 use crate::lifecycle::config::Class;
+use crate::lifecycle::log::Log;
+use crate::memory::budget::{Budget, Held};
 use crate::memory::counters::Counters;
 
-/// The fields of a request as a front has read them from its wire.
-#[derive(Debug, Default)]
-pub struct Fields {
-    pub class: String,
-    pub job: Option<Token>,
-    pub allow_ms: Option<f64>,
-    pub item: Option<Token>,
-    pub part: Option<Token>,
-    pub group: Option<u16>,
-    pub size_kb: Option<f64>,
-    pub seen: Option<Token>,
+/// A field as it came. One that came twice is none that can be used: which of the two is meant is not clear.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum Field<'a> {
+    #[default]
+    Absent,
+    Once(&'a [u8]),
+    Doubled,
 }
 
+impl<'a> Field<'a> {
+    pub fn put(&mut self, value: &'a [u8]) {
+        *self = if *self == Field::Absent { Field::Once(value) } else { Field::Doubled };
+    }
+
+    /// Another value where there is no field.
+    pub fn or(self, usual: &'a str) -> Field<'a> {
+        if self == Field::Absent {
+            Field::Once(usual.as_bytes())
+        } else {
+            self
+        }
+    }
+
+    /// The value by this reading; `None` for one that can't be used, `usual` where there is no field.
+    fn read<T>(self, usual: Option<T>, read: impl FnOnce(&'a [u8]) -> Option<T>) -> Option<T> {
+        match self {
+            Field::Absent => usual,
+            Field::Once(value) => read(value),
+            Field::Doubled => None,
+        }
+    }
+}
+
+/// The fields of a request as a front has found them on its wire.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Fields<'a> {
+    pub job: Field<'a>,
+    pub allow_ms: Field<'a>,
+    pub item: Field<'a>,
+    pub part: Field<'a>,
+    pub group: Field<'a>,
+    pub size_kb: Field<'a>,
+    pub seen: Field<'a>,
+}
+
+/// Digits only: what `parse` takes beside, such as a sign, `inf` or `1e9`, is no figure of the protocol.
+fn digits<T: FromStr>(value: &[u8]) -> Option<T> {
+    let text = std::str::from_utf8(value).ok().filter(|t| t.bytes().all(|b| b.is_ascii_digit()))?;
+    text.parse().ok()
+}
+
+/// A figure from 0 up to `most`, with a fraction or without.
+fn figure(value: &[u8], most: f64) -> Option<f64> {
+    let plain = |t: &&str| t.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    let figure: f64 = std::str::from_utf8(value).ok().filter(plain)?.parse().ok()?;
+    (0.0..=most).contains(&figure).then_some(figure)
+}
+
+/// 16 hex digits.
+fn hex(value: &[u8]) -> Option<Token> {
+    let fits = value.len() == 16 && value.iter().all(u8::is_ascii_hexdigit);
+    Token::new(value).filter(|_| fits)
+}
+
+/// Above every part and size that there is.
+const MOST_PARTS: u32 = 1_000_000;
+const MOST_KB: f64 = 1e7;
+
 /// Where the fronts hand their requests in.
 pub struct Intake {
     classes: Vec<Class>,
     next: AtomicU32,
     pub inputs: Sender<Input>,
     pub counters: Arc<Counters>,
+    /// Bytes of requests that are held, coming in or open.
+    pub bodies: Budget,
+    pub log: Log,
 }
 
 impl Intake {
-    pub fn new(classes: Vec<Class>, inputs: Sender<Input>, counters: Arc<Counters>) -> Intake {
-        Intake { classes, next: AtomicU32::new(1), inputs, counters }
+    pub fn new(
+        classes: Vec<Class>,
+        bodies: Budget,
+        inputs: Sender<Input>,
+        counters: Arc<Counters>,
+    ) -> Intake {
+        Intake { classes, next: AtomicU32::new(1), inputs, counters, bodies, log: Log::default() }
     }
 
     pub fn class(&self, name: &str) -> Option<&Class> {
         self.classes.iter().find(|c| &*c.name == name)
     }
 
-    /// Makes a request of what came whole at this moment; `None` for fields that can't be used.
-    pub fn ready(&self, fields: Fields, body: Vec<u8>, came: Ms) -> Option<Ready> {
-        let ready = self.read(fields, body, came);
-        if ready.is_none() {
-            self.counters.bad_requests.fetch_add(1, Relaxed);
-        }
-        ready
-    }
-
-    fn read(&self, fields: Fields, body: Vec<u8>, came: Ms) -> Option<Ready> {
-        let class = self.class(&fields.class)?;
-        let item = fields.item?;
-        let hex = |t: &Token| t.as_str().len() <= 16 && t.as_str().bytes().all(|b| b.is_ascii_hexdigit());
-        let object = u64::from_str_radix(item.as_str(), 16).ok().filter(|_| hex(&item))?;
-        let part = fields.part.or_else(|| Token::new(b"0"))?;
-        let number = part.as_str().parse().ok()?;
-        let allow = fields.allow_ms.filter(|ms| ms.is_finite() && *ms > 0.0)?;
-        let passed =
-            Passed { job: fields.job?, class_name: class.name.clone(), item, part, seen: fields.seen, body };
-        Some(Ready {
+    /// Makes a request of what came whole at this moment; `None` for fields that can't be used: those must never
+    /// come to a cache node, and never be served.
+    pub fn ready(
+        &self,
+        class: &str,
+        fields: &Fields<'_>,
+        body: Vec<u8>,
+        held: Held,
+        came: Ms,
+    ) -> Option<Ready> {
+        let class = self.class(class)?;
+        let item = fields.item.read(None, hex)?;
+        let object = u64::from_str_radix(item.as_str(), 16).ok()?;
+        let number = fields.part.read(Some(0), |v| digits(v).filter(|n| *n <= MOST_PARTS))?;
+        let part = fields.part.read(Token::new(b"0"), Token::new)?;
+        // No client waits longer than its class allows; twice that leaves room for how it is told.
+        let allow = fields.allow_ms.read(None, |v| figure(v, 2.0 * class.deadline))?;
+        let group = fields.group.read(Some(0), digits::<u8>)?;
+        let size_kb = fields.size_kb.read(Some(0.0), |v| figure(v, MOST_KB))?;
+        let seen = match fields.seen {
+            Field::Absent => None,
+            Field::Once(tag) => Some(Token::new(tag)?),
+            Field::Doubled => return None,
+        };
+        let job = fields.job.read(None, hex)?;
+        let passed = Passed { job, class_name: class.name.clone(), item, part, seen, body, _held: held };
+        (allow > 0.0).then(|| Ready {
             class: class.id,
             object: ObjectId(object),
             part: number,
-            group: PurgeGroup(fields.group.unwrap_or(0)),
-            size_kb: fields.size_kb.filter(|kb| kb.is_finite() && *kb > 0.0),
+            group: PurgeGroup(group.into()),
+            size_kb: Some(size_kb).filter(|kb| *kb > 0.0),
             deadline: came + allow,
             passed: Arc::new(passed),
         })
--- /dev/null
+++ b/front/src/server/sockets.rs
@@ -0,0 +1,263 @@
+//! The sockets of the platform's clients, all served by one thread as they become ready (epoll).
+//!
+//! Threads of their own, as connections have them elsewhere in this program, can't keep the limits here. A front
+//! is held to its part of a core by being stopped and continued, and each time every thread wakes: with two for
+//! each of 190 connections, most of them idle, 82 of 100 parts of the CPU went there, and the front stayed at its
+//! limit over work that takes a quarter of it.
+
+use std::collections::HashMap;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed, Ordering::SeqCst};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam_channel::{unbounded, Receiver, Sender};
+use rustix::buffer::spare_capacity;
+use rustix::event::epoll::{self, EventData, EventFlags};
+use rustix::event::{eventfd, EventfdFlags};
+
+use crate::server::clients::{Admitted, Clients};
+use crate::server::fastcgi::{Broken, Conversation, Delivery};
+use crate::server::Intake;
+
+/// What the two sources that are no client's connection are called.
+const LISTENER: u64 = 0;
+const WAKER: u64 = 1;
+const FIRST: u64 = 2;
+/// Taken in at one turn from one connection: others have theirs in between.
+const READ: usize = 64 * 1024;
+/// Connections accepted at one turn.
+const ACCEPT: usize = 32;
+/// A client with so much to take in brings nothing new.
+const QUEUE: usize = 64;
+
+/// Where answers are left for the clients' thread. Leaving one never blocks; there are no more of them than
+/// requests may be open.
+#[derive(Clone)]
+pub struct Mailbox {
+    deliveries: Sender<Delivery>,
+    bell: Arc<Bell>,
+}
+
+struct Bell {
+    fd: OwnedFd,
+    rung: AtomicBool,
+}
+
+impl Mailbox {
+    pub fn post(&self, delivery: Delivery) {
+        if self.deliveries.send(delivery).is_ok() && !self.bell.rung.swap(true, SeqCst) {
+            // It can fail only where it is rung already.
+            let _ = rustix::io::write(&self.bell.fd, &1u64.to_ne_bytes());
+        }
+    }
+}
+
+struct Connection {
+    admitted: Admitted,
+    conversation: Conversation,
+    /// How much of the first chunk has been written.
+    written: usize,
+    interest: EventFlags,
+}
+
+/// Why a connection ends.
+enum End {
+    /// By the client, or after the last answer.
+    Usual,
+    Broken(Broken),
+}
+
+impl From<io::Error> for End {
+    fn from(_: io::Error) -> End {
+        End::Usual
+    }
+}
+
+impl From<Broken> for End {
+    fn from(why: Broken) -> End {
+        End::Broken(why)
+    }
+}
+
+fn waits(why: &io::Error) -> bool {
+    matches!(why.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
+}
+
+impl Connection {
+    fn stream(&self) -> &TcpStream {
+        self.admitted.client.stream()
+    }
+
+    fn ready(&mut self, what: EventFlags, buffer: &mut [u8]) -> Result<(), End> {
+        // A connection that has ended says so whether or not it is to be read from.
+        let ended = what.intersects(EventFlags::HUP | EventFlags::ERR);
+        if ended || what.contains(EventFlags::IN) {
+            match self.stream().read(buffer) {
+                Ok(0) => return Err(End::Usual),
+                Ok(got) => {
+                    let taken = self.conversation.take(&buffer[..got]);
+                    // What was said to the client before it broke the protocol still goes out.
+                    let flushed = self.flush();
+                    taken?;
+                    return flushed;
+                }
+                Err(why) if waits(&why) => {}
+                Err(_) => return Err(End::Usual),
+            }
+        }
+        self.flush()
+    }
+
+    /// Writes as much as the client takes in now.
+    fn flush(&mut self) -> Result<(), End> {
+        let client = self.admitted.client.clone();
+        let mut stream: &TcpStream = client.stream();
+        while let Some(chunk) = self.conversation.out.front() {
+            if self.written == 0 {
+                client.takes();
+            }
+            match stream.write(&chunk.bytes[self.written..]) {
+                Ok(0) => return Err(End::Usual),
+                Ok(some) => self.written += some,
+                Err(why) if waits(&why) => break,
+                Err(why) => return Err(why.into()),
+            }
+            if self.written == chunk.bytes.len() {
+                let last = chunk.last;
+                client.took();
+                self.conversation.out.pop_front();
+                self.written = 0;
+                if last {
+                    return Err(End::Usual);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// What the connection waits for now, if that has changed.
+    fn interest(&mut self) -> Option<EventFlags> {
+        let waiting = self.conversation.out.len();
+        let mut interest = if waiting < QUEUE { EventFlags::IN } else { EventFlags::empty() };
+        if waiting > 0 {
+            interest |= EventFlags::OUT;
+        }
+        (std::mem::replace(&mut self.interest, interest) != interest).then_some(interest)
+    }
+}
+
+pub struct Sockets {
+    epoll: OwnedFd,
+    listener: TcpListener,
+    clients: Clients,
+    intake: Arc<Intake>,
+    connections: HashMap<u64, Connection>,
+    next: u64,
+    mailbox: Mailbox,
+    deliveries: Receiver<Delivery>,
+}
+
+impl Sockets {
+    pub fn new(listener: TcpListener, clients: Clients, intake: Arc<Intake>) -> io::Result<Sockets> {
+        let epoll = epoll::create(epoll::CreateFlags::CLOEXEC)?;
+        let fd = eventfd(0, EventfdFlags::NONBLOCK | EventfdFlags::CLOEXEC)?;
+        listener.set_nonblocking(true)?;
+        epoll::add(&epoll, &listener, EventData::new_u64(LISTENER), EventFlags::IN)?;
+        epoll::add(&epoll, &fd, EventData::new_u64(WAKER), EventFlags::IN)?;
+        let (to, deliveries) = unbounded();
+        let bell = Arc::new(Bell { fd, rung: AtomicBool::new(false) });
+        let mailbox = Mailbox { deliveries: to, bell };
+        let connections = HashMap::new();
+        Ok(Sockets { epoll, listener, clients, intake, connections, next: FIRST, mailbox, deliveries })
+    }
+
+    /// Serves for as long as the program runs.
+    pub fn run(mut self) {
+        let mut events: Vec<epoll::Event> = Vec::with_capacity(256);
+        let mut buffer = vec![0; READ];
+        loop {
+            events.clear();
+            // It is interrupted each time the process is stopped and goes on.
+            if epoll::wait(&self.epoll, spare_capacity(&mut events), None).is_err() {
+                continue;
+            }
+            for event in &events {
+                match event.data.u64() {
+                    LISTENER => self.accept(),
+                    WAKER => {
+                        let _ = rustix::io::read(&self.mailbox.bell.fd, &mut [0; 8][..]);
+                        self.mailbox.bell.rung.store(false, SeqCst);
+                    }
+                    id => self.turn(id, |connection| connection.ready(event.flags, &mut buffer)),
+                }
+            }
+            while let Ok(delivery) = self.deliveries.try_recv() {
+                self.turn(delivery.connection, |connection| {
+                    connection.conversation.answer(&delivery);
+                    connection.flush()
+                });
+            }
+        }
+    }
+
+    /// Lets a connection do something. An end, and a panic, is its own and nobody else's.
+    fn turn(&mut self, id: u64, act: impl FnOnce(&mut Connection) -> Result<(), End>) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        let acted = catch_unwind(AssertUnwindSafe(|| act(connection)));
+        let why = match acted {
+            Ok(Ok(())) => {
+                let data = EventData::new_u64(id);
+                let changed = connection.interest();
+                let told = changed.map(|to| epoll::modify(&self.epoll, connection.stream(), data, to));
+                if told.is_none_or(|t| t.is_ok()) {
+                    return;
+                }
+                None
+            }
+            Ok(Err(End::Usual)) => None,
+            Ok(Err(End::Broken(why))) => Some(why.to_string()),
+            Err(_) => Some("a panic".into()),
+        };
+        if let Some(why) = why {
+            self.intake.counters.broken_clients.fetch_add(1, Relaxed);
+            self.intake.log.say(|| format!("client connection: closed over {why}"));
+        }
+        self.connections.remove(&id);
+    }
+
+    fn accept(&mut self) {
+        for _ in 0..ACCEPT {
+            let stream = match self.listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(why) if waits(&why) => return,
+                Err(why) => {
+                    self.intake.log.say(|| format!("accept: {why}"));
+                    // Out of descriptors, most likely: without a pause this would be all that the thread does.
+                    std::thread::sleep(Duration::from_millis(5));
+                    return;
+                }
+            };
+            let Some(admitted) = self.clients.admit(stream) else { continue };
+            self.intake.counters.client_connections.fetch_add(1, Relaxed);
+            if let Err(why) = self.take_in(admitted) {
+                self.intake.log.say(|| format!("accept: {why}"));
+            }
+        }
+    }
+
+    fn take_in(&mut self, admitted: Admitted) -> io::Result<()> {
+        let (id, client) = (self.next, admitted.client.clone());
+        self.next += 1;
+        client.stream().set_nonblocking(true)?;
+        client.stream().set_nodelay(true)?;
+        epoll::add(&self.epoll, client.stream(), EventData::new_u64(id), EventFlags::IN)?;
+        let conversation = Conversation::new(id, client, self.intake.clone(), self.mailbox.clone());
+        let connection = Connection { admitted, conversation, written: 0, interest: EventFlags::IN };
+        self.connections.insert(id, connection);
+        Ok(())
+    }
+}
--- a/front/tests/common/mod.rs
+++ b/front/tests/common/mod.rs
@@ -89,6 +89,10 @@
 impl Program {
     /// Caches by name beside the origin `o-1` and the event bus `bus` (and a second one); the second front if there is an edge file.
     pub fn start(caches: &[&str], edge: Option<&str>) -> Program {
+        Program::start_with(caches, edge, 1024)
+    }
+
+    pub fn start_with(caches: &[&str], edge: Option<&str>, sockets: u32) -> Program {
         let folder = folder();
         let names = caches.iter().copied().chain(["o-1", "bus", "bus2"]);
         let listeners: BTreeMap<String, TcpListener> =
@@ -103,7 +107,7 @@
         let mut servers: Vec<String> = caches.iter().map(|name| server(name, "edge-1", "small")).collect();
         servers.push(server("o-1", "east", "origin"));
         let config = format!(
-            r#"{{"name":"n1","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{{"sockets":1024}},
+            r#"{{"name":"n1","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets}}},
             "bus":"{}","known":{{"offset":1,"batch":[{{"offset":1,"topology":{{"version":1,"full":true,"servers":[{}]}}}}]}},
             "settings":{SETTINGS}}}"#,
             addr("bus"),
--- a/front/tests/play.rs
+++ b/front/tests/play.rs
@@ -1,7 +1,9 @@
 //! Plays recorded byte exchanges (tests/exchanges) against the program and compares what comes back.
 //!
-//! A line is a step: `caches NAME...`, `edge` (a file, up to `end`, with `@NAME` for a stand-in's address); `connect C [http N | dns]`, `udp C`;
+//! A line is a step: `caches NAME...`, `sockets N`, `edge` (a file, up to `end`, with `@NAME` for a stand-in's address); `connect C [http N | dns]`, `udp C`;
 //! `accept C NAME` at a stand-in; `C > bytes` sends, `C < bytes` expects, `C close`, `C closed`;
+//! `C ask N CLASS NAME=VALUE...` sends a whole FastCGI request (fields by their usual names and values unless they
+//! are named; `+NAME=VALUE` beside the usual one, `body=N` bytes), `C got N TEXT` reads its whole answer and compares the beginning;
 //! `move FROM TO` (the bus, in the configuration file), `spoil TEXT BY` (in that file), `signal NAME`, `exit CODE`, `log TEXT`, `run CODE ARGS` and, under it, `| TEXT` that its output holds.
 //! In bytes `{d}` is a number, `{N}` any N bytes, `{c*N}` N times the character, `\r \n \xHH` as in Rust.
 
@@ -122,10 +124,64 @@
     }
 }
 
+/// One FastCGI record.
+fn record(kind: u8, id: u16, content: &[u8]) -> Vec<u8> {
+    let ([a, b], [c, d]) = (id.to_be_bytes(), (content.len() as u16).to_be_bytes());
+    [&[1, kind, a, b, c, d, 0, 0][..], content].concat()
+}
+
+const USUAL: [(&str, &str); 6] = [
+    ("X_JOB_ID", "9b1f03aa5c7e2d41"),
+    ("X_ITEM", "7f3a9c21e0b4d655"),
+    ("X_SLICE", "3"),
+    ("X_ALLOW_MS", "800"),
+    ("X_SET", "17"),
+    ("X_RAM_KB", "41.5"),
+];
+
+fn request(id: u16, class: &str, changes: &[&str]) -> Vec<u8> {
+    let mut fields = vec![("SCRIPT_NAME".to_owned(), format!("/api/v2/{class}"))];
+    fields.extend(USUAL.map(|(name, value)| (format!("HTTP_{name}"), value.to_owned())));
+    let mut body = 0;
+    for (name, value) in changes.iter().map(|c| c.split_once('=').unwrap()) {
+        let named = format!("HTTP_{}", name.trim_start_matches('+'));
+        match fields.iter_mut().find(|(n, _)| *n == named) {
+            _ if name == "body" => body = value.parse().unwrap(),
+            Some(field) if !name.starts_with('+') => field.1 = value.to_owned(),
+            _ => fields.push((named, value.to_owned())),
+        }
+    }
+    let pair =
+        |(n, v): &(String, String)| [&[n.len() as u8, v.len() as u8], n.as_bytes(), v.as_bytes()].concat();
+    let params: Vec<u8> = fields.iter().filter(|(_, v)| !v.is_empty()).flat_map(pair).collect();
+    let mut out =
+        [record(1, id, &[0, 1, 1, 0, 0, 0, 0, 0]), record(4, id, &params), record(4, id, b"")].concat();
+    vec![b'x'; body].chunks(32_000).for_each(|part| out.extend(record(5, id, part)));
+    [out, record(5, id, b"")].concat()
+}
+
+/// The whole answer to a request: what STDOUT held, and the protocol status.
+fn answer(reader: &mut dyn BufRead, id: u16) -> (Vec<u8>, u8) {
+    let mut stdout = Vec::new();
+    loop {
+        let mut head = [0; 8];
+        reader.read_exact(&mut head).expect("a record");
+        let mut content = vec![0; usize::from(u16::from_be_bytes([head[4], head[5]])) + usize::from(head[6])];
+        reader.read_exact(&mut content).expect("a whole record");
+        content.truncate(content.len() - usize::from(head[6]));
+        assert_eq!(u16::from_be_bytes([head[2], head[3]]), id, "another request's answer");
+        match head[1] {
+            6 => stdout.extend(content),
+            3 => return (stdout, content[4]),
+            kind => panic!("a record of kind {kind}"),
+        }
+    }
+}
+
 #[rstest]
 fn exchange(#[files("tests/exchanges/*.txt")] path: PathBuf) {
     let text = std::fs::read_to_string(&path).unwrap();
-    let (mut caches, mut edge) = (vec!["s-1"], None);
+    let (mut caches, mut edge, mut sockets) = (vec!["s-1"], None, 1024);
     let mut program: Option<Program> = None;
     let mut peers: HashMap<&str, Peer> = HashMap::new();
     let mut printed = String::new();
@@ -138,6 +194,7 @@
         }
         match words[..] {
             ["caches", ref names @ ..] => caches = names.to_vec(),
+            ["sockets", n] => sockets = n.parse().unwrap(),
             ["edge"] => {
                 let file = lines.by_ref().map(|(_, l)| l).take_while(|l| *l != "end");
                 let mut text = file.collect::<Vec<_>>().join("\n");
@@ -150,7 +207,8 @@
                 edge = Some(text);
             }
             _ => {
-                let program = program.get_or_insert_with(|| Program::start(&caches, edge.as_deref()));
+                let program =
+                    program.get_or_insert_with(|| Program::start_with(&caches, edge.as_deref(), sockets));
                 step(program, &mut peers, &mut printed, line, &words);
             }
         }
@@ -195,6 +253,16 @@
             *printed = text;
         }
         ["|", ..] => assert!(printed.contains(&line[2..]), "{printed}"),
+        [name, "ask", id, class, ref changes @ ..] => {
+            peers.get_mut(name).unwrap().send(&request(id.parse().unwrap(), class, changes))
+        }
+        [name, "got", id, ..] => {
+            let Some(Peer::Tcp(_, reader)) = peers.get_mut(name) else { panic!("{name} is no stream") };
+            let (stdout, status) = answer(reader, id.parse().unwrap());
+            let wanted = line.splitn(4, ' ').nth(3).unwrap().replace("{crlf}", "\r\n");
+            let came = if status == 2 { "overloaded".into() } else { String::from_utf8_lossy(&stdout) };
+            assert!(came.starts_with(&wanted), "came {came:?}");
+        }
         [name, ">", ..] => peers.get_mut(name).unwrap().send(&bytes(&line[name.len() + 3..])),
         [name, "<", ..] => peers.get_mut(name).unwrap().expect(&line[name.len() + 3..]),
         [name, "close"] => drop(peers.remove(name)),
--- a/front/tests/resolver.rs
+++ b/front/tests/resolver.rs
@@ -162,7 +162,7 @@
     fn ask(&mut self) -> u16 {
         self.1 += 1;
         let ask = format!(
-            "GET /api/v2/small-files HTTP/1.1\r\nHost: b\r\nX-Item: {:x}\r\n\r\n",
+            "GET /api/v2/small-files HTTP/1.1\r\nHost: b\r\nX-Item: {:016x}\r\n\r\n",
             u64::from(self.1) * 7_919
         );
         self.0.get_mut().write_all(ask.as_bytes()).unwrap();
