Find useless node connections, share each among few; keep bad requests out of the strain

Each was sent up to eight times and each error counted as strain of the way to the origin (logic.rs, on_reply), so the guard never ended, and after the real trouble the window of fills stayed at its least: no:Held 115 a second. - end:Reset in bursts of 10 to 25: one spoilt answer ended all that shared its connection (up to 100 streams). - a muted connection was only left after an attempt on it had timed out, at its deadline of 2.5 to 5 s. Ruled out: the retry budget (no:retries 1 to 8 a second), admission (no:cache 0 to 3).

Now an error without a note is held in doubt until another cache serves the request, and then blamed; two doubtful errors from two caches end the request as failed. Broken connections are no strain. Pool: four attempts share a connection while others may be opened; what must not run twice goes alone. Each 100 ms connections that owe answers are looked at: after 4 looks without a byte 'there' is asked on that connection (where probes are allowed), 4 more without an answer, or 8 in the middle of one, and it is closed; looks are counted and not time, for a stopped process. Memory for an answer is taken as its bytes come.

--- a/front/src/client/connection.rs
+++ b/front/src/client/connection.rs
@@ -4,7 +4,7 @@
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use std::sync::atomic::Ordering::Relaxed;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -16,14 +16,22 @@
 use crate::memory::counters::Counters;
 use crate::wire::lines::{Answer, Word, LONGEST_LINE};
 
+/// What an answer is given to begin with.
+const FIRST_BYTES: usize = 64 * 1024;
 /// Frames that wait for the writer at most.
 const QUEUE: usize = 512;
 /// A peer that takes in nothing for so long is given up; what it was being sent is not whole.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 /// An answer to what was given up may still cross; its id is kept free of others for so long.
 const FORGET_GIVEN_UP: Duration = Duration::from_secs(10);
-/// An attempt given up after so long, with nothing read since it was written, shows a connection gone silent.
-const SILENT: Duration = Duration::from_millis(700);
+/// A connection that owes an answer is looked at in turns, `Limits::look` apart. Turns are counted and not time:
+/// a process that was stopped for a while finds many seconds gone and the answers not read yet.
+/// After so many without a byte it is asked whether it is still there, the first time and at most,
+const QUIET: (u32, u32) = (4, 16);
+/// after so many without an answer to that it is of no use any more,
+const MUTE: u32 = 4;
+/// nor is it after so many in the middle of an answer.
+const STALLED: u32 = 8;
 
 /// What has waited so long for a peer that takes in nothing is not sent any more: it was decided before purges
 /// and drains that may have been told since, and these bind what is sent from 1 s and 2 s on.
@@ -34,6 +42,8 @@
 enum Purpose {
     Attempt(AttemptKey),
     Probe(MemberId),
+    /// Whether the connection is still of use.
+    Ping,
     GivenUp,
 }
 
@@ -42,6 +52,17 @@
     purpose: Purpose,
     progress: Progress,
     since: Instant,
+    alone: bool,
+}
+
+/// How much else may be open on a connection that takes something.
+#[derive(Clone, Copy, Debug)]
+pub struct Room {
+    /// So many at most, with this one.
+    pub streams: usize,
+    /// Nothing else: what breaks the connection over another's answer would take this with it, and it must not
+    /// be sent again.
+    pub alone: bool,
 }
 
 #[derive(Debug)]
@@ -50,8 +71,12 @@
     closed: bool,
     /// Takes nothing new; closed once nothing is open.
     retired: bool,
-    last_read: Instant,
     last_used: Instant,
+    /// Reads at the last look, looks since then, and how many until it is asked.
+    seen: u64,
+    quiet: u32,
+    patience: u32,
+    asked: bool,
 }
 
 /// The part of a connection that the pool and both threads share.
@@ -59,6 +84,8 @@
 pub struct Connection {
     table: Mutex<Table>,
     frames: Sender<(Token, Vec<u8>)>,
+    /// How often bytes have come.
+    reads: AtomicU64,
     stream: Mutex<Option<Arc<TcpStream>>>,
 }
 
@@ -70,10 +97,18 @@
 impl Connection {
     pub fn open(peer: Peer, inputs: Sender<Input>, counters: Arc<Counters>) -> io::Result<Arc<Connection>> {
         let (frames, queue) = bounded(QUEUE);
-        let now = Instant::now();
-        let table =
-            Table { slots: HashMap::new(), closed: false, retired: false, last_read: now, last_used: now };
-        let connection = Arc::new(Connection { table: Mutex::new(table), frames, stream: Mutex::new(None) });
+        let table = Table {
+            slots: HashMap::new(),
+            closed: false,
+            retired: false,
+            last_used: Instant::now(),
+            seen: 0,
+            quiet: 0,
+            patience: QUIET.0,
+            asked: false,
+        };
+        let (table, reads) = (Mutex::new(table), AtomicU64::new(0));
+        let connection = Arc::new(Connection { table, frames, reads, stream: Mutex::new(None) });
         let own = connection.clone();
         spawn("node-writer", move || {
             // A panic stops at the connection: what is open on it still ends.
@@ -96,19 +131,22 @@
         tag: &Token,
         purpose: Result<AttemptKey, MemberId>,
         frame: Vec<u8>,
-        streams: usize,
+        room: Room,
     ) -> bool {
         let mut table = self.table();
         let now = Instant::now();
-        let open = table.slots.values().filter(|s| !matches!(s.purpose, Purpose::GivenUp)).count();
-        if table.closed || table.retired || open >= streams || table.slots.contains_key(tag) {
+        let own = |s: &&Slot| matches!(s.purpose, Purpose::Attempt(_) | Purpose::Probe(_));
+        let open = table.slots.values().filter(own).count();
+        let taken = if room.alone { open > 0 } else { table.slots.values().any(|s| s.alone) };
+        if table.closed || table.retired || taken || open >= room.streams || table.slots.contains_key(tag) {
             return false;
         }
         if self.frames.try_send((tag.clone(), frame)).is_err() {
             return false;
         }
         let purpose = purpose.map_or_else(Purpose::Probe, Purpose::Attempt);
-        table.slots.insert(tag.clone(), Slot { purpose, progress: Progress::NotConnected, since: now });
+        let (progress, alone) = (Progress::NotConnected, room.alone);
+        table.slots.insert(tag.clone(), Slot { purpose, progress, since: now, alone });
         table.last_used = now;
         true
     }
@@ -116,7 +154,6 @@
     /// Gives an attempt up; tells how far it had come, `None` if it is not open here.
     pub fn give_up(&self, tag: &Token, key: AttemptKey, never_mind: Vec<u8>) -> Option<Progress> {
         let mut table = self.table();
-        let last_read = table.last_read;
         let slot = table.slots.get_mut(tag)?;
         if !matches!(slot.purpose, Purpose::Attempt(open) if open == key) {
             return None;
@@ -126,10 +163,7 @@
             table.slots.remove(tag);
             return Some(progress);
         }
-        let silent = slot.since.elapsed() > SILENT && last_read < slot.since;
-        (slot.purpose, slot.since) = (Purpose::GivenUp, Instant::now());
-        // A machine that has vanished leaves open connections silent for good: the next attempt gets a new one.
-        table.retired |= silent;
+        (slot.purpose, slot.since, slot.alone) = (Purpose::GivenUp, Instant::now(), false);
         let _ = self.frames.try_send((tag.clone(), never_mind));
         Some(progress)
     }
@@ -139,10 +173,40 @@
         self.table().retired = true;
     }
 
+    /// Ends the connection if it owes answers and is of no further use: a machine that has vanished, and an answer
+    /// that never comes, leave it open and silent for good. Whatever is out on it has run as far as is known.
+    pub fn look(&self, ping: &Token, asking: Option<Vec<u8>>) {
+        let mut table = self.table();
+        let reads = self.reads.load(Relaxed);
+        let out = |s: &Slot| matches!(s.purpose, Purpose::Attempt(_)) && s.progress.may_have_run();
+        let owes = table.slots.values().any(out);
+        if table.closed || !owes || table.seen != reads {
+            table.patience = if !owes { QUIET.0 } else { table.patience };
+            (table.seen, table.quiet) = (reads, 0);
+            if std::mem::take(&mut table.asked) {
+                table.patience = (table.patience * 2).min(QUIET.1);
+            }
+            return;
+        }
+        table.quiet += 1;
+        let cut = table.slots.values().any(|s| s.progress == Progress::PartOfAnswer);
+        let useless = table.quiet >= if cut { STALLED } else { MUTE };
+        if (cut || table.asked) && useless {
+            table.closed = true;
+            drop(table);
+            self.shut();
+        } else if let Some(frame) = asking.filter(|_| !cut && !table.asked && table.quiet >= table.patience) {
+            let (purpose, progress, since) = (Purpose::Ping, Progress::Whole, Instant::now());
+            table.slots.insert(ping.clone(), Slot { purpose, progress, since, alone: false });
+            let _ = self.frames.try_send((ping.clone(), frame));
+            (table.asked, table.quiet) = (true, 0);
+        }
+    }
+
     /// Closes it if it has been idle for so long, or if it is retired and idle; true if it is closed.
     pub fn sweep(&self, idle: Duration) -> bool {
         let mut table = self.table();
-        let given_up = |s: &Slot| matches!(s.purpose, Purpose::GivenUp);
+        let given_up = |s: &Slot| matches!(s.purpose, Purpose::GivenUp | Purpose::Ping);
         table.slots.retain(|_, s| !given_up(s) || s.since.elapsed() < FORGET_GIVEN_UP);
         let open = table.slots.values().any(|s| !given_up(s));
         if !table.closed && !open && (table.retired || table.last_used.elapsed() > idle) {
@@ -235,7 +299,7 @@
     }
 
     fn read(&self, stream: &TcpStream, inputs: &Sender<Input>) {
-        let mut reader = BufReader::with_capacity(16 * 1024, stream);
+        let mut reader = BufReader::with_capacity(16 * 1024, Counted(stream, &self.reads));
         let mut line = Vec::new();
         loop {
             line.clear();
@@ -247,28 +311,27 @@
                 eprintln!("node connection: closed over an answer that can't be read");
                 return;
             };
-            self.table().last_read = Instant::now();
             let Some(tag) = Token::new(answer.id.as_bytes()) else { return };
             // From here on the answer is cut if it is not whole.
             if let Some(slot) = self.table().slots.get_mut(&tag) {
                 slot.progress = Progress::PartOfAnswer;
             }
-            let mut bytes = vec![0; answer.length];
+            // Memory is taken as the bytes come, and not for what a length only says.
+            let mut bytes = Vec::with_capacity(answer.length.min(FIRST_BYTES));
             let mut end = [0; 2];
-            if reader.read_exact(&mut bytes).is_err()
-                || reader.read_exact(&mut end).is_err()
-                || end != *b"\r\n"
-            {
+            let got = (&mut reader).take(answer.length as u64).read_to_end(&mut bytes);
+            let whole = got.is_ok_and(|n| n == answer.length) && reader.read_exact(&mut end).is_ok();
+            if !whole || end != *b"\r\n" {
                 return;
             }
             let slot = {
                 let mut table = self.table();
-                (table.last_read, table.last_used) = (Instant::now(), Instant::now());
+                table.last_used = Instant::now();
                 table.slots.remove(&tag)
             };
             let Some(slot) = slot else { continue };
             let input = match slot.purpose {
-                Purpose::GivenUp => continue,
+                Purpose::GivenUp | Purpose::Ping => continue,
                 Purpose::Probe(member) => {
                     let outcome = if answer.word == Word::Pong { Outcome::Ok } else { Outcome::Error };
                     Input::Probed { member, outcome, latency: slot.since.elapsed().as_secs_f64() * 1000.0 }
@@ -282,6 +345,17 @@
     }
 }
 
+/// Counts how often bytes come.
+struct Counted<'a>(&'a TcpStream, &'a AtomicU64);
+
+impl Read for Counted<'_> {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        let got = self.0.read(buffer)?;
+        self.1.fetch_add(1, Relaxed);
+        Ok(got)
+    }
+}
+
 enum Admitted {
     Yes,
     Skipped,
@@ -307,7 +381,7 @@
     let input = match purpose {
         Purpose::Attempt(key) => Input::Returned { key, returned: Returned::Broke(progress) },
         Purpose::Probe(member) => Input::Probed { member, outcome: progress.broken(), latency: 0.0 },
-        Purpose::GivenUp => return,
+        Purpose::GivenUp | Purpose::Ping => return,
     };
     let _ = inputs.send(input);
 }
--- a/front/src/client/pool.rs
+++ b/front/src/client/pool.rs
@@ -8,7 +8,7 @@
 use crossbeam_channel::Sender;
 use elmtide::{MemberId, Ms};
 
-use crate::client::connection::{Connection, Peer};
+use crate::client::connection::{Connection, Peer, Room};
 use crate::exchange::*;
 use crate::memory::counters::Counters;
 use crate::memory::members::Members;
@@ -21,8 +21,13 @@
     pub idle: Duration,
     pub streams_per_connection: usize,
     pub connections: usize,
+    /// Whether nodes may be asked if they are there.
+    pub probes: bool,
 }
 
+/// Attempts on one connection, as long as others may be opened: one spoilt answer takes all of them with it.
+const SHARE: usize = 4;
+
 pub struct Pool {
     limits: Limits,
     members: Members,
@@ -48,6 +53,12 @@
         }
     }
 
+    /// A name for a question that is no request's.
+    fn tag(&mut self) -> Option<Token> {
+        self.probes += 1;
+        Token::new(format!("p{:015x}", self.probes).as_bytes())
+    }
+
     /// Puts a frame on a connection to this member, an open one or a new one.
     fn dispatch(
         &mut self,
@@ -55,19 +66,23 @@
         tag: &Token,
         purpose: Result<AttemptKey, MemberId>,
         frame: Vec<u8>,
+        alone: bool,
     ) -> Option<Arc<Connection>> {
         let addr = self.members.get(member).and_then(|m| m.addr)?;
         let streams = self.limits.streams_per_connection;
         let open = self.connections.entry(member).or_default();
-        if let Some(found) = open.iter().find(|c| c.try_send(tag, purpose, frame.clone(), streams)) {
+        let few = Room { streams: streams.min(SHARE), alone };
+        if let Some(found) = open.iter().find(|c| c.try_send(tag, purpose, frame.clone(), few)) {
             return Some(found.clone());
         }
         if self.connections.values().map(Vec::len).sum::<usize>() >= self.limits.connections {
-            return None;
+            let open = self.connections.get(&member)?;
+            let many = Room { streams, alone: false };
+            return open.iter().find(|c| c.try_send(tag, purpose, frame.clone(), many)).cloned();
         }
         let peer = Peer { addr, connect_timeout: self.limits.connect_timeout };
         let connection = Connection::open(peer, self.inputs.clone(), self.counters.clone()).ok()?;
-        connection.try_send(tag, purpose, frame, streams);
+        connection.try_send(tag, purpose, frame, few);
         self.connections.entry(member).or_default().push(connection.clone());
         Some(connection)
     }
@@ -94,7 +109,7 @@
             body: &passed.body,
         };
         let frame = want.encode();
-        let connection = self.dispatch(order.cache, &passed.job, Ok(order.key), frame);
+        let connection = self.dispatch(order.cache, &passed.job, Ok(order.key), frame, passed.once);
         let connection = connection.ok_or(Progress::NotConnected)?;
         self.out.insert(order.key, (connection, passed.job.clone()));
         Ok(())
@@ -110,9 +125,14 @@
     }
 
     fn probe(&mut self, member: MemberId) -> bool {
-        self.probes += 1;
-        let tag = Token::new(format!("p{:015x}", self.probes).as_bytes());
-        tag.is_some_and(|tag| self.dispatch(member, &tag, Err(member), there(tag.as_str())).is_some())
+        let tag = self.tag();
+        tag.is_some_and(|tag| self.dispatch(member, &tag, Err(member), there(tag.as_str()), false).is_some())
+    }
+
+    fn look(&mut self) {
+        let Some(tag) = self.tag() else { return };
+        let frame = self.limits.probes.then(|| there(tag.as_str()));
+        self.connections.values().flatten().for_each(|c| c.look(&tag, frame.clone()));
     }
 
     fn learn(&mut self, news: &MembersNews) {
--- a/front/src/engine.rs
+++ b/front/src/engine.rs
@@ -20,12 +20,15 @@
 /// For so long after SIGTERM requests are still taken; what comes later must not be left unanswered by a kill.
 const TAKE_AFTER_TERM: Ms = 550.0;
 const SWEEP: Ms = 1000.0;
+/// Connections that owe answers are looked at so often.
+const LOOK: Ms = 100.0;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Alarm {
     Module(u64),
     Attempt(u32, u8),
     Deadline(u32),
+    Look,
     Sweep,
 }
 
@@ -57,12 +60,13 @@
         let mut actions = Vec::new();
         let wait_ms = settings.max_retry_after.filter(|_| settings.retry_after).map(|ms| ms as u64);
         let router = Router::new(settings, seed, now, &mut actions);
-        let alarms = BinaryHeap::from([Reverse((micros(now + SWEEP), Alarm::Sweep))]);
+        let alarms = [(SWEEP, Alarm::Sweep), (LOOK, Alarm::Look)];
+        let alarms = alarms.map(|(after, alarm)| Reverse((micros(now + after), alarm)));
         Engine {
             router,
             upstream,
             exchanges: Exchanges::default(),
-            alarms,
+            alarms: BinaryHeap::from(alarms),
             ended: VecDeque::new(),
             unreached: VecDeque::new(),
             resolved: None,
@@ -271,6 +275,10 @@
                     self.give_up(key, Progress::timed_out);
                 }
                 Alarm::Deadline(id) => self.past_deadline(RequestId(id)),
+                Alarm::Look => {
+                    self.upstream.look();
+                    self.alarms.push(Reverse((micros(self.now + LOOK), Alarm::Look)));
+                }
                 Alarm::Sweep => {
                     self.upstream.sweep();
                     self.alarms.push(Reverse((micros(self.now + SWEEP), Alarm::Sweep)));
--- a/front/src/exchange.rs
+++ b/front/src/exchange.rs
@@ -34,6 +34,8 @@
     pub part: Token,
     pub seen: Option<Token>,
     pub body: Vec<u8>,
+    /// It must not run twice.
+    pub once: bool,
     /// What the request holds of the bytes allowed to all.
     pub _held: Held,
 }
@@ -185,6 +187,8 @@
     /// False if there is no way to the member.
     fn probe(&mut self, member: MemberId) -> bool;
     fn learn(&mut self, news: &MembersNews);
+    /// Ends connections that owe answers and are of no further use.
+    fn look(&mut self);
     /// Closes what has been idle for long.
     fn sweep(&mut self);
 }
--- a/front/src/lifecycle/config.rs
+++ b/front/src/lifecycle/config.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use elmtide::{ClassId, Ms, Settings};
+use elmtide::{ClassId, Ms, Repeat, Settings};
 use serde_json::Value;
 
 use crate::client::bus::Names;
@@ -17,6 +17,8 @@
     pub name: Arc<str>,
     pub id: ClassId,
     pub write: bool,
+    /// It must not run twice.
+    pub once: bool,
     pub deadline: Ms,
 }
 
@@ -72,6 +74,7 @@
                 name: class["Name"].as_str().unwrap_or("").into(),
                 id: ClassId(place as u16),
                 write: settings.classes.get(place).is_some_and(|c| c.write),
+                once: settings.classes.get(place).is_some_and(|c| c.repeat == Repeat::Unsafe),
                 deadline: settings.classes.get(place).map_or(0.0, |c| c.deadline),
             })
             .collect();
@@ -84,6 +87,7 @@
             idle: Duration::from_secs_f64(limit("ConnIdleMs", 30_000.0) / 1000.0 * 0.6),
             streams_per_connection: limit("StreamsPerConn", 100.0) as usize,
             connections: sockets / 3,
+            probes: settings.probes,
         };
         Ok(Config {
             name: root["name"].as_str().unwrap_or("front").to_owned(),
--- a/front/src/server/mod.rs
+++ b/front/src/server/mod.rs
@@ -137,7 +137,8 @@
             Field::Doubled => return None,
         };
         let job = fields.job.read(None, hex)?;
-        let passed = Passed { job, class_name: class.name.clone(), item, part, seen, body, _held: held };
+        let (class_name, once) = (class.name.clone(), class.once);
+        let passed = Passed { job, class_name, item, part, seen, body, once, _held: held };
         (allow > 0.0).then(|| Ready {
             class: class.id,
             object: ObjectId(object),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -567,7 +567,7 @@
             let class = &self.set.classes[usize::from(open.request.class.0)];
             let ran = open.attempts.iter().any(|a| a.may_have_run());
             let keyed = class.repeat == Repeat::Keyed && class.key_scope == KeyScope::All;
-            let harmless = !ran || keyed || class.repeat == Repeat::Safe;
+            let harmless = (!ran || keyed || class.repeat == Repeat::Safe) && !open.is_unusable();
             let pause = sane(self.set.max_retry_after).filter(|_| self.set.retry_after);
             out.push(if harmless && (first || now < open.deadline) {
                 Action::Refuse { id, retry_after: pause }
@@ -585,7 +585,7 @@
         let left = open.deadline - now;
         // An attempt after one that only looked for what is held is no repeat.
         let repeat = open.attempts.last().is_some_and(|a| !a.missed());
-        if tries >= most || left <= TOO_LATE || (repeat && self.retries < 1.0) {
+        if open.is_unusable() || tries >= most || left <= TOO_LATE || (repeat && self.retries < 1.0) {
             return false;
         }
         let write = request.write || self.set.classes[usize::from(request.class.0)].write;
@@ -641,7 +641,7 @@
         out.push(Action::SetTimer { delay: overdue, token: Token(u64::from(id.0) << 8 | tries as u64) });
         self.origin.out += if ask == Ask::Origin { 1.0 } else { 0.0 };
         self.fills.out += if fills { 1.0 } else { 0.0 };
-        let attempt = Attempt { cache, source, sent: now, ask, end: None };
+        let attempt = Attempt { cache, source, sent: now, ask, end: None, doubtful: false };
         self.open.entry(id).and_modify(|o| o.attempts.push(attempt));
         true
     }
@@ -756,7 +756,13 @@
         tried.end = Some(outcome);
         let (cache, source, ask) = (tried.cache, tried.source, tried.ask);
         let late = now > open.aim_at || outcome != Outcome::Ok;
-        if !matches!(outcome, Outcome::Cancelled | Outcome::Moot | Outcome::Miss) {
+        // Only what tells of fills and the origin: a broken connection does not, nor an error that may be the
+        // request's own.
+        let doubtful = outcome == Outcome::Error && note == Note::Absent;
+        tried.doubtful = doubtful;
+        let silent =
+            [Outcome::Cancelled, Outcome::Moot, Outcome::Miss, Outcome::Reset, Outcome::ConnectFailed];
+        if !silent.contains(&outcome) && !doubtful {
             self.strain += (if late { 1.0 } else { 0.0 } - self.strain) * STRAIN_LEARN;
             self.guarded = self.strain > if self.guarded { STRAIN.0 } else { STRAIN.1 };
         }
@@ -770,6 +776,10 @@
         self.members.entry(cache).and_modify(|m| m.out = (m.out - 1.0).max(0.0));
         match outcome {
             Outcome::Ok => {
+                let failed = open.attempts.iter().filter(|a| a.doubtful && a.cache != cache);
+                let failed: Vec<(MemberId, MemberId)> = failed.map(|a| (a.cache, a.source)).collect();
+                failed.into_iter().for_each(|(cache, source)| self.blame(now, cache, source, 1.0));
+                let Some(open) = self.open.get_mut(&id) else { return };
                 let latency = sane(Some(latency)).unwrap_or(0.0);
                 let (view, told) = (&mut self.classes[class], work);
                 // Where no size is told, the latency counts as work: too much rather than too little.
@@ -791,6 +801,8 @@
                 }
             }
             Outcome::Cancelled | Outcome::Moot | Outcome::Miss => {}
+            // Whose fault it was shows when the request is tried elsewhere.
+            _ if doubtful => {}
             _ => {
                 // A note may tell whose failure it was; a full member is busy, not broken.
                 let told = matches!(note, Note::SourceRefused | Note::SourceLost | Note::OriginFailed);
@@ -861,6 +873,15 @@
     streaming: bool,
 }
 
+impl Open {
+    /// Fails wherever it is tried: the fault is its own, and a further try only costs work and retries that
+    /// others need. Clients can send such requests by hundreds.
+    fn is_unusable(&self) -> bool {
+        let first = self.attempts.iter().find(|a| a.doubtful);
+        first.is_some_and(|f| self.attempts.iter().any(|a| a.doubtful && a.cache != f.cache))
+    }
+}
+
 #[derive(Debug)]
 struct Attempt {
     cache: MemberId,
@@ -868,6 +889,7 @@
     sent: Ms,
     ask: Ask,
     end: Option<Outcome>, // none while it is out
+    doubtful: bool,       // an error that tells nothing of its cause
 }
 
 impl Attempt {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -182,6 +182,42 @@
     front.now += 10_000.0;
 }
 
+/// Clients can send requests that every cache answers with an error, by hundreds. They end soon, nobody is blamed
+/// for them, and they are no sign of a strained origin.
+#[test]
+fn requests_that_fail_everywhere_cost_little_and_put_nothing_under_guard() {
+    let mut front = Front::new(settings(), fleet());
+    let mut sends = 0;
+    for id in 0..600 {
+        front.now += 10.0;
+        let mut out = front.ask(id, u64::from(id));
+        for attempt in 0.. {
+            if sent(&out).is_none() {
+                let tried = if attempt == 1 { "with no retry left" } else { "after two caches" };
+                let refused = matches!(out[..], [Action::Refuse { .. }]);
+                assert!(attempt <= 2 && refused == (attempt == 1), "request {id} {tried}: {out:?}");
+                break;
+            }
+            sends += 1;
+            out = front.reply(id, attempt, if id % 3 == 0 { Outcome::Ok } else { Outcome::Error });
+            if id % 3 == 0 {
+                break;
+            }
+        }
+    }
+    assert!((610..=800).contains(&sends), "{sends} attempts for 400 such requests and 200 others");
+    let next = sent(&front.ask(1000, 7)).unwrap();
+    assert!(next.source != next.cache, "not under guard: a miss is filled at once");
+    // A broken connection tells nothing of the origin either.
+    (2000..2060).for_each(|id| {
+        front.ask(id, u64::from(id));
+        (0..7).for_each(|attempt| drop(front.reply(id, attempt, Outcome::Reset)));
+    });
+    front.now += 10_000.0;
+    let next = sent(&front.ask(3000, 7)).unwrap();
+    assert!(next.source != next.cache, "not under guard");
+}
+
 #[test]
 fn under_strain_a_write_is_not_first_asked_of_a_parent_that_cannot_hold_it() {
     let mut front = Front::new(settings(), fleet());
