Keep the windows open when one parent is lost; refuse what could not be sent by half its time

Ruled out: the ejection itself (it comes within a second), admission, retries. Now what an ejected source still fails counts for neither; a lost source is blamed in full and not as a busy one; the least window is one fill of all fronts (0.02 for each before). By reading: a request that no node could be sent (connects that hang) was held up to its deadline: it is refused at 0.45 of its time now, unless an attempt was written whole; the last answer is given 20 ms before the time ends, not after it. pool.rs kept one entry in born and in members for every id ever seen: forgotten once gone and closed. Tests: a_lost_parent_puts_the_other_under_no_guard; what_could_not_be_sent_is_refused_before_half_its_time.

--- a/front/src/client/connection.rs
+++ b/front/src/client/connection.rs
@@ -168,6 +168,13 @@
         Some(progress)
     }
 
+    pub fn may_have_run(&self, tag: &Token, key: AttemptKey) -> bool {
+        let table = self.table();
+        let slot = table.slots.get(tag).filter(|s| matches!(s.purpose, Purpose::Attempt(k) if k == key));
+        // One that is not here any more has ended: how far it came is on its way to the engine.
+        slot.is_none_or(|s| s.progress.may_have_run())
+    }
+
     /// Takes nothing new from now on.
     pub fn retire(&self) {
         self.table().retired = true;
--- a/front/src/client/pool.rs
+++ b/front/src/client/pool.rs
@@ -124,6 +124,10 @@
         connection.give_up(&tag, key, never_mind(tag.as_str()))
     }
 
+    fn may_have_run(&self, key: AttemptKey) -> bool {
+        self.out.get(&key).is_some_and(|(connection, tag)| connection.may_have_run(tag, key))
+    }
+
     fn probe(&mut self, member: MemberId) -> bool {
         let tag = self.tag();
         tag.is_some_and(|tag| self.dispatch(member, &tag, Err(member), there(tag.as_str()), false).is_some())
@@ -158,5 +162,10 @@
             open.retain(|c| !c.sweep(idle));
             !open.is_empty()
         });
+        // Nodes come and go all day, each with an id of its own.
+        let connections = &self.connections;
+        self.members.retain(|id, gone| !gone || connections.contains_key(id));
+        let members = &self.members;
+        self.born.retain(|id, _| members.get(*id).is_some());
     }
 }
--- a/front/src/engine.rs
+++ b/front/src/engine.rs
@@ -19,6 +19,9 @@
 const BACKSTOP: Ms = 15.0;
 /// For so long after SIGTERM requests are still taken; what comes later must not be left unanswered by a kill.
 const TAKE_AFTER_TERM: Ms = 550.0;
+/// By this part of its time a request has been written whole to some node, or it is refused: told early that nothing
+/// has run, a client can still do something about it.
+const UNSENT: f64 = 0.45;
 const SWEEP: Ms = 1000.0;
 /// Connections that owe answers are looked at so often.
 const LOOK: Ms = 100.0;
@@ -28,6 +31,7 @@
     Module(u64),
     Attempt(u32, u8),
     Deadline(u32),
+    Unsent(u32),
     Look,
     Sweep,
 }
@@ -163,6 +167,7 @@
             return incoming.responder.answer(Answer::Failed);
         }
         self.alarms.push(Reverse((micros(deadline + BACKSTOP), Alarm::Deadline(request.id.0))));
+        self.alarms.push(Reverse((micros(self.now + left * UNSENT), Alarm::Unsent(request.id.0))));
         self.tell(Event::Request(request));
     }
 
@@ -170,6 +175,7 @@
     fn on_end(&mut self, key: AttemptKey, outcome: Outcome, note: elmtide::Note, copy: Option<Copy>) {
         let Some(exchange) = self.exchanges.get_mut(key.id) else { return };
         let Some(sent) = exchange.end_attempt(key.attempt) else { return };
+        exchange.may_have_run |= !matches!(outcome, Outcome::ConnectFailed | Outcome::Moot);
         self.upstream.ended(key);
         if outcome == Outcome::Ok {
             let copy = copy.unwrap_or(Copy { bytes: Vec::new(), digest: None, client_has_it: false });
@@ -275,6 +281,7 @@
                     self.give_up(key, Progress::timed_out);
                 }
                 Alarm::Deadline(id) => self.past_deadline(RequestId(id)),
+                Alarm::Unsent(id) => self.still_unsent(RequestId(id)),
                 Alarm::Look => {
                     self.upstream.look();
                     self.alarms.push(Reverse((micros(self.now + LOOK), Alarm::Look)));
@@ -290,6 +297,19 @@
         }
     }
 
+    fn still_unsent(&mut self, id: RequestId) {
+        let Some(exchange) = self.exchanges.get_mut(id) else { return };
+        let upstream = &self.upstream;
+        let out = exchange.out().any(|attempt| upstream.may_have_run(AttemptKey { id, attempt }));
+        if exchange.is_answered() || exchange.may_have_run || out {
+            return;
+        }
+        exchange.answer(Answer::Refused { wait_ms: self.wait_ms });
+        self.counters.refused.fetch_add(1, Relaxed);
+        self.tell(Event::Expired { id });
+        self.exchanges.settle(id);
+    }
+
     fn past_deadline(&mut self, id: RequestId) {
         if self.exchanges.answer(id, Answer::Failed) {
             eprintln!("request {} was still open past its deadline: failed", id.0);
@@ -299,3 +319,91 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::sync::Mutex;
+
+    use crossbeam_channel::{bounded, unbounded};
+    use elmtide::{Availability, ClassId, ClassSettings, ListNews, Listing, MemberId, ObjectId, PurgeGroup};
+
+    use super::*;
+    use crate::memory::budget::Budget;
+
+    /// A way to nodes on which nothing ever comes back, and attempts are written whole or not at all.
+    struct Silent(bool);
+
+    impl Upstream for Silent {
+        fn send(&mut self, _: &Order) -> Result<(), Progress> {
+            Ok(())
+        }
+        fn ended(&mut self, _: AttemptKey) {}
+        fn give_up(&mut self, _: AttemptKey) -> Option<Progress> {
+            Some(if self.0 { Progress::Whole } else { Progress::NotConnected })
+        }
+        fn may_have_run(&self, _: AttemptKey) -> bool {
+            self.0
+        }
+        fn probe(&mut self, _: MemberId) -> bool {
+            false
+        }
+        fn learn(&mut self, _: &MembersNews) {}
+        fn look(&mut self) {}
+        fn sweep(&mut self) {}
+    }
+
+    /// The answer to a request of 400 ms, and after how much of them it came.
+    fn asked(written: bool) -> (Answer, Ms) {
+        let class = ClassSettings { aim: 100.0, deadline: 400.0, ..ClassSettings::default() };
+        let settings = Settings { classes: vec![class], cancel: true, ..Settings::default() };
+        let (inputs, events) = unbounded();
+        let member = MemberId(1);
+        let (weight, zone, kind) = (1.0, Default::default(), Default::default());
+        let (cell, born, availability) = (Default::default(), None, Availability::Ready);
+        let listing = Listing { member, weight, zone, kind, cell, born, availability };
+        let event = Event::List { news: ListNews::Full, entries: vec![listing] };
+        inputs.send(Input::Listed { from: ListSource::Bus, news: MembersNews::default(), event }).unwrap();
+        let (to, answer) = bounded(1);
+        let to = Mutex::new(to);
+        let sent = clock::unix_ms();
+        let word = |text: &str| crate::exchange::Token::new(text.as_bytes()).unwrap();
+        let incoming = Incoming {
+            id: RequestId(1),
+            class: ClassId(0),
+            object: ObjectId(7),
+            part: 0,
+            group: PurgeGroup(0),
+            size_kb: None,
+            deadline: sent + 400.0,
+            passed: Arc::new(Passed {
+                job: word("9b1f03aa5c7e2d41"),
+                class_name: "small-files".into(),
+                item: word("7f3a9c21e0b4d655"),
+                part: word("0"),
+                seen: None,
+                body: Vec::new(),
+                once: false,
+                _held: Budget::new(0).held(),
+            }),
+            responder: Responder::new(move |a| to.lock().unwrap().send((a, clock::unix_ms())).unwrap()),
+        };
+        inputs.send(Input::Taken(incoming)).unwrap();
+        let engine = Engine::new(settings, 1, Silent(written), Arc::default());
+        let run = std::thread::spawn(move || engine.run(&events));
+        let (answer, at) = answer.recv_timeout(Duration::from_secs(20)).unwrap();
+        inputs.send(Input::Stop).unwrap();
+        run.join().unwrap();
+        (answer, at - sent)
+    }
+
+    /// A request that no node was sent whole is not held past half its time; one that was waits for its end.
+    #[test]
+    fn what_could_not_be_sent_is_refused_before_half_its_time() {
+        let (answer, after) = asked(false);
+        assert!(matches!(answer, Answer::Refused { .. }), "{answer:?}");
+        assert!(after >= 150.0, "after {after} ms: it was given a chance");
+        let (answer, after) = asked(true);
+        assert!(answer != Answer::Served(Copy { bytes: vec![], digest: None, client_has_it: false }));
+        assert!(after >= 380.0, "after {after} ms, while it was out");
+    }
+}
--- a/front/src/exchange.rs
+++ b/front/src/exchange.rs
@@ -184,6 +184,8 @@
     fn ended(&mut self, key: AttemptKey);
     /// Gives an attempt up and tells how far it had come; `None` if its end is on the way already.
     fn give_up(&mut self, key: AttemptKey) -> Option<Progress>;
+    /// Whether an attempt that is out has been written whole.
+    fn may_have_run(&self, key: AttemptKey) -> bool;
     /// False if there is no way to the member.
     fn probe(&mut self, member: MemberId) -> bool;
     fn learn(&mut self, news: &MembersNews);
--- a/front/src/memory/exchanges.rs
+++ b/front/src/memory/exchanges.rs
@@ -17,12 +17,14 @@
     pub(crate) responder: Option<Responder>,
     /// For each attempt when it was sent, while it is out.
     pub(crate) attempts: Vec<Option<Ms>>,
+    /// One of those that have ended was written whole.
+    pub may_have_run: bool,
 }
 
 impl Exchange {
     pub fn new(incoming: Incoming) -> Exchange {
         let Incoming { deadline, passed, responder, .. } = incoming;
-        Exchange { deadline, passed, responder: Some(responder), attempts: Vec::new() }
+        Exchange { deadline, passed, responder: Some(responder), attempts: Vec::new(), may_have_run: false }
     }
 
     /// Gives the final answer; false if there has been one.
@@ -49,6 +51,12 @@
         self.attempts.get(usize::from(attempt.0)).is_some_and(Option::is_some)
     }
 
+    /// The attempts that are out.
+    pub fn out(&self) -> impl Iterator<Item = Try> + '_ {
+        let out = self.attempts.iter().enumerate().filter(|(_, sent)| sent.is_some());
+        out.map(|(place, _)| Try(place as u8))
+    }
+
     /// When the attempt was sent, if it was out: each has one end.
     pub fn end_attempt(&mut self, attempt: Try) -> Option<Ms> {
         self.attempts.get_mut(usize::from(attempt.0)).and_then(Option::take)
--- a/front/src/memory/members.rs
+++ b/front/src/memory/members.rs
@@ -41,6 +41,11 @@
         self.0.get(&id)
     }
 
+    /// Keeps those for which this holds, given whether they are gone.
+    pub fn retain(&mut self, keep: impl Fn(&MemberId, bool) -> bool) {
+        self.0.retain(|id, member| keep(id, member.gone));
+    }
+
     pub fn ids(&self) -> Vec<MemberId> {
         self.0.keys().copied().collect()
     }
--- a/front/src/server/mod.rs
+++ b/front/src/server/mod.rs
@@ -87,6 +87,9 @@
 const MOST_PARTS: u32 = 1_000_000;
 const MOST_KB: f64 = 1e7;
 
+/// The last answer is given so many milliseconds before the client's time ends: it has to get there.
+const ANSWER_BEFORE: Ms = 20.0;
+
 /// Where the fronts hand their requests in.
 pub struct Intake {
     classes: Vec<Class>,
@@ -145,7 +148,7 @@
             part: number,
             group: PurgeGroup(group.into()),
             size_kb: Some(size_kb).filter(|kb| *kb > 0.0),
-            deadline: came + allow,
+            deadline: came + allow - ANSWER_BEFORE.min(allow / 10.0),
             passed: Arc::new(passed),
         })
     }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -40,7 +40,7 @@
 const ORIGIN_PART: f64 = 0.2; // origin fetches out when a guard begins, over the transfers of all links in
 const LINK: f64 = 18.0; // transfers of a link in for each front, where it is not told
 const WINDOW: (f64, f64) = (0.94, 1.03); // factors of a window for one front: a late fill; one in time
-const WINDOW_LEAST: f64 = 0.02; // least window: now and then one fill goes out to try the way
+const WINDOW_LEAST: f64 = 1.0; // least window of all fronts: less never finds the way free again
 const ATTEMPTS: u32 = 3; // attempts where the settings name no limit
 const TOO_LATE: Ms = 10.0; // ms before a deadline in which no attempt can come back
 
@@ -290,6 +290,7 @@
 struct Window {
     out: f64,
     most: f64,
+    least: f64,
     power: f64, // the more fronts share a way, the less each sees of it: then one fill tells more
 }
 
@@ -305,7 +306,7 @@
             _ => {}
         }
         self.out = (self.out - 1.0).max(0.0);
-        self.most = self.most.max(WINDOW_LEAST);
+        self.most = self.most.max(self.least);
     }
 }
 
@@ -329,7 +330,7 @@
             let (pace, fronts) =
                 (sane(set.pace).unwrap_or(f64::INFINITY), f64::from(fronts.unwrap_or(1).max(1)));
             let most = part * sane(links.map(|l| l / pace)).map_or(LINK, |all| all / fronts);
-            Window { out: 0.0, most, power: fronts.sqrt() }
+            Window { out: 0.0, most, least: WINDOW_LEAST / fronts, power: fronts.sqrt() }
         };
         let origin = window(Some(set.zone_links.iter().sum()), ORIGIN_PART, set.fronts);
         let fills = window(set.zone_links.get(zone).copied(), 1.0, near);
@@ -760,13 +761,16 @@
         // request's own.
         let doubtful = outcome == Outcome::Error && note == Note::Absent;
         tried.doubtful = doubtful;
+        // What one lost source still fails, once it is ejected, tells nothing of the ways to the others.
+        let ejected = |id| self.members.get(&id).is_some_and(|m| m.health.out(now));
+        let lost = note == Note::SourceLost && ejected(source);
         let silent =
             [Outcome::Cancelled, Outcome::Moot, Outcome::Miss, Outcome::Reset, Outcome::ConnectFailed];
-        if !silent.contains(&outcome) && !doubtful {
+        if !silent.contains(&outcome) && !doubtful && !lost {
             self.strain += (if late { 1.0 } else { 0.0 } - self.strain) * STRAIN_LEARN;
             self.guarded = self.strain > if self.guarded { STRAIN.0 } else { STRAIN.1 };
         }
-        let told = Some(late).filter(|_| !matches!(outcome, Outcome::Moot | Outcome::Miss));
+        let told = Some(late).filter(|_| !matches!(outcome, Outcome::Moot | Outcome::Miss) && !lost);
         if ask == Ask::Origin {
             self.origin.back(told);
         }
@@ -807,7 +811,8 @@
                 // A note may tell whose failure it was; a full member is busy, not broken.
                 let told = matches!(note, Note::SourceRefused | Note::SourceLost | Note::OriginFailed);
                 let source = if note == Note::NoFillPlace { cache } else { source };
-                let amount = if outcome == Outcome::Full { 0.5 } else { 1.0 };
+                let busy = outcome == Outcome::Full && note != Note::SourceLost;
+                let amount = if busy { 0.5 } else { 1.0 };
                 self.blame(now, if told { source } else { cache }, source, amount);
             }
         }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -218,6 +218,32 @@
     assert!(next.source != next.cache, "not under guard");
 }
 
+/// A parent that is lost fails what was on its way to it, late and by dozens. That must not shut the way to the
+/// other one: no guard begins.
+#[test]
+fn a_lost_parent_puts_the_other_under_no_guard() {
+    let mut front = Front::new(settings(), fleet());
+    let lost = |id: u32, attempt: u8| {
+        let (id, attempt, note) = (RequestId(id), Try(attempt), Note::SourceLost);
+        let (outcome, latency, settled) = (Outcome::Full, 800.0, false);
+        Event::Reply { id, attempt, outcome, latency, settled, note }
+    };
+    // What is on its way when it is lost, and comes back within a second.
+    let doomed: Vec<u32> = (0..120)
+        .filter(|id| sent(&front.ask(*id, u64::from(*id))).is_some_and(|to| to.source == MemberId(101)))
+        .collect();
+    front.now += 800.0;
+    for id in doomed {
+        front.now += 5.0;
+        front.tell(lost(id, 0));
+    }
+    let next = sent(&front.ask(1000, 7)).unwrap();
+    assert!(
+        next.source == MemberId(102) && next.source != next.cache,
+        "a miss is filled by the other at once"
+    );
+}
+
 #[test]
 fn under_strain_a_write_is_not_first_asked_of_a_parent_that_cannot_hold_it() {
     let mut front = Front::new(settings(), fleet());
