--- a/src/logic.rs
+++ b/src/logic.rs
@@ -770,7 +770,7 @@
             self.strain += (if late { 1.0 } else { 0.0 } - self.strain) * STRAIN_LEARN;
             self.guarded = self.strain > if self.guarded { STRAIN.0 } else { STRAIN.1 };
         }
-        let told = Some(late).filter(|_| !matches!(outcome, Outcome::Moot | Outcome::Miss) && !lost);
+        let told = Some(late).filter(|_| !silent.contains(&outcome) && !doubtful && !lost);
         if ask == Ask::Origin {
             self.origin.back(told);
         }
