Shield the origin by its own strain; windows scale with caches' links and fronts

Each front sees 0.8 origin fetches a second, one answer in ten, so the strain over all answers passed 0.12 only at 13 to 14 s, through time-outs; then 1,000 of 1,700 requests a second were refused while links were free (60 ms over the sending time). When the guard began each front might have 3.6 fetches out, 360 of a fleet whose usual number is 28: links are not told, and the part for each front was fixed (LINK). Later the window was 0.3 a front and still 100 were out: the chance was drawn for each request, so among many misses each front had one.

Lines at fault in src/logic.rs: Router::new() (window of LINK a front), on_reply() (one strain for links and origin, by the aim and not by the usual wait), send() (draw by request id), Window::back() (least part of one in all the fleet). Now the origin has a guard of its own, learned from its fetches against their usual wait; what it delays is no strain of the links; under it alone parents are asked for what they hold, without a look first. Windows begin at half the caches' links split among the location's fronts, a fifth of that to the origin, keep a quarter and grow back by time; a part of one is a chance for a turn of 400 ms. Refused clients are told 0.6 to 1 of the longest wait, not all the same.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -35,12 +35,19 @@
 const SHED: (f64, f64) = (2.0, 5.0); // multiple in the whole group at which a request is refused: least, most
 const RETRY_EARN: f64 = 0.1; // further attempts earned by a request: overload is not multiplied
 const RETRY_SAVE: f64 = 20.0; // and saved up at most
+const RETURN: f64 = 0.6; // least part of the wait that is told to those refused
 const STRAIN: (f64, f64) = (0.05, 0.12); // share of bad outcomes that ends the guard of the origin; begins it
 const STRAIN_LEARN: f64 = 0.03; // part of a new outcome in it: about 30 count
 const ORIGIN_PART: f64 = 0.2; // origin fetches out when a guard begins, over the transfers of all links in
-const LINK: f64 = 18.0; // transfers of a link in for each front, where it is not told
+const LINK: f64 = 0.5; // a link in over the links of its caches, where it is not told: they keep most
+const FAR_LEARN: f64 = 0.3; // part of a new origin fetch in its strain: of many fronts each sees one a second
+const FAR: (f64, f64) = (0.2, 0.45); // strain that ends the shield of the origin; begins it: three in a row
+const FAR_LATE: (f64, f64) = (1.5, 4.0); // multiples of the usual wait for the origin: no strain; full strain
+const FAR_FIRST: Ms = 200.0; // usual wait for the origin before any is seen
 const WINDOW: (f64, f64) = (0.94, 1.03); // factors of a window for one front: a late fill; one in time
-const WINDOW_LEAST: f64 = 1.0; // least window of all fronts: less never finds the way free again
+const WINDOW_LEAST: f64 = 0.25; // least part of a window: less never finds the way free again
+const WINDOW_BACK: Ms = 12_000.0; // ms in which a window grows by e: a small part sees too little to tell
+const TURN: Ms = 400.0; // ms for which the chance of a part of one is drawn: a try at each request is none
 const ATTEMPTS: u32 = 3; // attempts where the settings name no limit
 const TOO_LATE: Ms = 10.0; // ms before a deadline in which no attempt can come back
 
@@ -269,11 +276,12 @@
     purges: BTreeMap<Purged, Ms>,
     purges_swept: Ms,
     open: BTreeMap<RequestId, Open>,
-    /// Mean badness of late; whether the way to the origin is guarded; its fetches out, and allowed.
-    strain: f64,
-    guarded: bool,
-    origin: Window,
+    /// Strain of the links and of the origin alone, and what may be out to each under guard.
+    near: Guard,
+    far: Guard,
     fills: Window,
+    origin: Window,
+    far_usual: Ms, // how long the origin usually keeps a fetch
     salt: u64,
 }
 
@@ -284,29 +292,46 @@
     Group(PurgeGroup),
 }
 
+/// Mean badness of late, and whether that is strain.
+#[derive(Debug, Default)]
+struct Guard {
+    strain: f64,
+    up: bool,
+}
+
+impl Guard {
+    fn learn(&mut self, bad: f64, part: f64, (end, begin): (f64, f64)) {
+        self.strain += (bad - self.strain) * part;
+        self.up = self.strain > if self.up { end } else { begin };
+    }
+}
+
 /// How many of a thing may be out under guard: what comes back late makes it less, in time more. Below one it
 /// is a chance, so that many fronts with a small part each still add up to the whole.
 #[derive(Debug, Default)]
 struct Window {
     out: f64,
     most: f64,
-    least: f64,
-    power: f64, // the more fronts share a way, the less each sees of it: then one fill tells more
+    full: f64, // where it begins and grows back to by itself
+    at: Ms,
+    fronts: f64, // that share it: the more, the less each sees of it, and then one fill tells more
 }
 
 impl Window {
-    fn room(&self, draw: f64) -> bool {
+    fn room(&mut self, now: Ms, draw: f64) -> bool {
+        let grown = self.most * ((now - self.at).max(0.0) / WINDOW_BACK).exp();
+        (self.most, self.at) = (self.most.max(grown.min(self.full)), now);
         self.out + draw < self.most
     }
 
     fn back(&mut self, late: Option<bool>) {
         match late {
-            Some(true) => self.most *= WINDOW.0.powf(self.power),
-            Some(false) if self.out * 2.0 >= self.most => self.most *= WINDOW.1.powf(self.power),
+            Some(true) => self.most *= WINDOW.0.powf(self.fronts.sqrt()),
+            Some(false) if self.out * 2.0 >= self.most => self.most *= WINDOW.1.powf(self.fronts.sqrt()),
             _ => {}
         }
         self.out = (self.out - 1.0).max(0.0);
-        self.most = self.most.max(self.least);
+        self.most = self.most.max(self.full * WINDOW_LEAST);
     }
 }
 
@@ -324,29 +349,39 @@
         let (stretch, spread) = FIRST_STRETCH;
         let work = |c: &ClassSettings| sane(Some(c.aim)).unwrap_or(OVERHEAD);
         let view = |c| ClassView { stretch, spread, work: work(c) };
-        let zone = usize::from(set.zone.0);
-        let near = set.zone_fronts.get(zone).copied().or(set.fronts);
-        let window = |links: Option<f64>, part: f64, fronts: Option<u32>| {
-            let (pace, fronts) =
-                (sane(set.pace).unwrap_or(f64::INFINITY), f64::from(fronts.unwrap_or(1).max(1)));
-            let most = part * sane(links.map(|l| l / pace)).map_or(LINK, |all| all / fronts);
-            Window { out: 0.0, most, least: WINDOW_LEAST / fronts, power: fronts.sqrt() }
+        let near = set.zone_fronts.get(usize::from(set.zone.0)).copied().or(set.fronts);
+        let window = |fronts: Option<u32>| Window {
+            fronts: f64::from(fronts.unwrap_or(1).max(1)),
+            ..Window::default()
         };
-        let origin = window(Some(set.zone_links.iter().sum()), ORIGIN_PART, set.fronts);
-        let fills = window(set.zone_links.get(zone).copied(), 1.0, near);
         Router {
             classes: set.classes.iter().map(view).collect(),
+            origin: window(set.fronts),
+            fills: window(near),
             set,
             started: now,
             next_step: f64::INFINITY,
             retries: RETRY_SAVE / 2.0,
-            origin,
-            fills,
+            far_usual: FAR_FIRST,
             salt: seed,
             ..Router::default()
         }
     }
 
+    /// Opens the windows that a guard begins with: the link in, and what of it may go to the origin.
+    fn open_windows(&mut self, now: Ms) {
+        let links = &self.set.zone_links;
+        let told = |link: f64| sane(sane(self.set.pace).map(|pace| link / pace));
+        let caches = self.members.values().filter(|m| m.role == Role::Cache && m.ready());
+        let usual = LINK * caches.map(|m| self.weight(m)).sum::<f64>().max(1.0);
+        let link = links.get(usize::from(self.set.zone.0)).and_then(|link| told(*link)).unwrap_or(usual)
+            / self.fills.fronts;
+        let all = told(links.iter().sum()).map_or(link, |all| all / self.origin.fronts);
+        let far = ORIGIN_PART * all;
+        self.fills = Window { most: link, full: link, at: now, ..self.fills };
+        self.origin = Window { most: far, full: far, at: now, ..self.origin };
+    }
+
     /// Takes in one event; appends what is to be done. Events of one moment come in the order of arrival.
     pub fn handle(&mut self, now: Ms, event: Event, out: &mut Vec<Action>) {
         if !now.is_finite() {
@@ -465,11 +500,9 @@
         let share = |r: &Router, id| r.members.get(&id).map_or(0.0, |m| m.health.share(now) + 0.05);
         let (a, b) = (share(self, cache), if source == cache { 0.0 } else { share(self, source) });
         for (id, part) in [(cache, a / (a + b).max(1e-9)), (source, b / (a + b).max(1e-9))] {
-            if part <= 0.0 {
-                continue;
-            }
             let may_eject = self.apart(now, id);
-            self.members.entry(id).and_modify(|m| m.health.failed(now, amount * part, may_eject));
+            let note = |m: &mut Member| m.health.failed(now, amount * part, may_eject && part > 0.0);
+            self.members.entry(id).and_modify(note);
         }
     }
 
@@ -578,7 +611,9 @@
             let ran = open.attempts.iter().any(|a| a.may_have_run());
             let keyed = class.repeat == Repeat::Keyed && class.key_scope == KeyScope::All;
             let harmless = (!ran || keyed || class.repeat == Repeat::Safe) && !open.is_unusable();
-            let pause = sane(self.set.max_retry_after).filter(|_| self.set.retry_after);
+            // Those refused together must not come back together.
+            let spread = RETURN + (1.0 - RETURN) * unit(hash(u64::from(id.0), self.salt ^ 1));
+            let pause = sane(self.set.max_retry_after).filter(|_| self.set.retry_after).map(|ms| ms * spread);
             out.push(if harmless && (first || now < open.deadline) {
                 Action::Refuse { id, retry_after: pause }
             } else {
@@ -604,29 +639,30 @@
         let Some(source) = aside.or_else(|| self.pick_source(now, id, cache)) else { return false };
         let class = usize::from(request.class.0);
         let (mean, settings) = (self.classes[class].work, &self.set.classes[class]);
-        let purged = self.purged_at(&request, now);
-        let fresh = sane(settings.fresh);
+        let (purged, fresh) = (self.purged_at(&request, now), sane(settings.fresh));
         // A further attempt takes a stale copy too: it is worth less than a fresh one and more than none.
         // Under strain a parent is first asked for what it holds: that is served at once, and only as many
         // requests go on to the origin as it answers in time. Guards parents' and caches' places for fills
-        // from a slow or overrun origin, and the origin from all. The price: a round trip for such a miss.
+        // from a slow or overrun origin, and the origin from all, for a round trip for such a miss.
         let upstream = self.members.get(&source).is_some_and(|m| m.role == Role::Parent);
         let asked = |ask| self.open[&id].attempts.iter().any(|a| a.ask == ask && a.missed());
-        let ask = match self.guarded && source != cache && !write {
+        let ask = match (self.near.up, self.far.up) {
             _ if aside.is_some() => Ask::Former,
-            true if !asked(Ask::Look) && !asked(Ask::Former) => Ask::Look,
-            true if upstream && !asked(Ask::Held) => Ask::Held,
-            true => Ask::Origin,
-            false => Ask::Anything,
+            _ if write || source == cache => Ask::Anything,
+            (true, _) if !asked(Ask::Look) && !asked(Ask::Former) => Ask::Look,
+            (true, _) | (_, true) if upstream && !asked(Ask::Held) => Ask::Held,
+            (true, _) | (_, true) => Ask::Origin,
+            _ => Ask::Anything,
         };
         let source = if ask == Ask::Look { cache } else { source };
-        let draw = unit(hash(u64::from(id.0), self.salt));
+        let draw = unit(hash(self.salt, (now / TURN + unit(self.salt)) as u64));
         let fills = matches!(ask, Ask::Held | Ask::Origin);
         let known = self.open[&id].attempts.last().is_some_and(|a| a.ask == Ask::Held && a.missed());
-        if (fills && !known && !self.fills.room(draw)) || (ask == Ask::Origin && !self.origin.room(draw)) {
+        let fills_full = fills && self.near.up && !known && !self.fills.room(now, draw);
+        if fills_full || (ask == Ask::Origin && !self.origin.room(now, draw)) {
             return false;
         }
-        let aged = tries > 0 || self.guarded;
+        let aged = tries > 0 || self.near.up;
         let usual = fresh.map(|f| f + sane(settings.grace).filter(|_| aged).unwrap_or(0.0));
         let cap = purged.map(|at| (now - at - PURGE_MARGIN).max(LEAST_AGE));
         let max_age = match (cap, usual) {
@@ -636,14 +672,13 @@
         // The age cap holds for a fill that is joined as well, so a purge does not end joining.
         let mode = FillMode {
             join: self.set.joins,
-            renew: fresh.is_some() && purged.is_none() && !self.guarded && aside.is_none(),
+            renew: fresh.is_some() && purged.is_none() && !self.near.up && aside.is_none(),
             source_holds_only: matches!(ask, Ask::Former | Ask::Held),
             ..FillMode::default()
         };
         let overdue = self.usual(class, work, OVERDUE);
-        for member in [cache, source].into_iter().take(if source == cache { 1 } else { 2 }) {
-            self.charge(member, now, mean);
-        }
+        let charged = [cache, source].into_iter().take(if source == cache { 1 } else { 2 });
+        charged.for_each(|member| self.charge(member, now, mean));
         self.members.entry(cache).and_modify(|m| m.out += 1.0);
         self.retries -= if repeat { 1.0 } else { 0.0 };
         let rank = u8::from(!write);
@@ -774,15 +809,33 @@
         // a member that fails far more than its peers: many fronts would each take it for strain of all ways.
         let apart = outcome == Outcome::Timeout && (self.apart(now, source) || self.apart(now, cache));
         let lost = note == Note::SourceLost || apart;
+        // How long the origin kept it, beside the usual; it may also end as silence.
+        let waited = (latency - work).max(0.0) / self.far_usual;
+        let far = match note {
+            Note::FilledByOrigin => {
+                let usual = waited < FAR_LATE.1;
+                self.far_usual *= if usual { 1.0 + (waited - 1.0) * FAR_LEARN / 4.0 } else { 1.0 };
+                Some(((waited - FAR_LATE.0) / (FAR_LATE.1 - FAR_LATE.0)).clamp(0.0, 1.0))
+            }
+            Note::OriginFailed | Note::SourceRefused => Some(1.0),
+            _ if outcome == Outcome::Timeout && !lost && self.far.strain > FAR.0 => Some(1.0),
+            _ => None,
+        };
         let silent =
             [Outcome::Cancelled, Outcome::Moot, Outcome::Miss, Outcome::Reset, Outcome::ConnectFailed];
-        if !silent.contains(&outcome) && !doubtful && !lost {
-            self.strain += (if late { 1.0 } else { 0.0 } - self.strain) * STRAIN_LEARN;
-            self.guarded = self.strain > if self.guarded { STRAIN.0 } else { STRAIN.1 };
+        let tells = !silent.contains(&outcome) && !doubtful && !lost && far.is_none();
+        let (told, free) = (tells.then_some(late), !self.near.up && !self.far.up);
+        if let Some(late) = told {
+            self.near.learn(f64::from(late), STRAIN_LEARN, STRAIN);
+        }
+        if let Some(bad) = far {
+            self.far.learn(bad, FAR_LEARN, FAR);
+        }
+        if free && (self.near.up || self.far.up) {
+            self.open_windows(now);
         }
-        let told = Some(late).filter(|_| !silent.contains(&outcome) && !doubtful && !lost);
         if ask == Ask::Origin {
-            self.origin.back(told);
+            self.origin.back(far.map(|bad| bad > 0.5));
         }
         if matches!(ask, Ask::Held | Ask::Origin) {
             self.fills.back(told.filter(|_| note != Note::Hit));
@@ -823,8 +876,7 @@
                 let told = matches!(note, Note::SourceRefused | Note::SourceLost | Note::OriginFailed);
                 let source = if note == Note::NoFillPlace { cache } else { source };
                 let busy = outcome == Outcome::Full && note != Note::SourceLost;
-                let amount = if busy { 0.5 } else { 1.0 };
-                self.blame(now, if told { source } else { cache }, source, amount);
+                self.blame(now, if told { source } else { cache }, source, if busy { 0.5 } else { 1.0 });
             }
         }
         let Some(open) = self.open.get(&id) else { return };
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,104 @@
+//! What a hundred routers do together, none knowing of the others, and what each learns from few requests.
+
+mod common;
+
+use common::*;
+use elmtide::*;
+
+/// So many routers of one location, each with its own seed, told the same list.
+fn fronts(settings: &Settings, list: &[Listing], count: u32) -> Vec<Front> {
+    let front = |seed: u32| {
+        let mut front = Front::new(settings.clone(), Vec::new());
+        front.router = Router::new(settings.clone(), u64::from(seed) * 7919, 0.0, &mut Vec::new());
+        front.tell(Event::List { news: ListNews::Cached, entries: list.to_vec() });
+        front
+    };
+    (0..count).map(front).collect()
+}
+
+fn of_location(count: u32) -> Settings {
+    let zone_fronts = vec![0, 0, 0, 0, 0, 0, 0, count];
+    Settings { fronts: Some(count * 4), zone_fronts, ..settings() }
+}
+
+fn told(front: &mut Front, id: u32, outcome: Outcome, latency: Ms, note: Note) -> Vec<Action> {
+    let (id, settled) = (RequestId(id), outcome == Outcome::Ok);
+    front.tell(Event::Reply { id, attempt: Try(0), outcome, latency, settled, note })
+}
+
+/// Fetches from the origin that wait four times as long as usual, among many hits that are in time.
+fn slow_origin(front: &mut Front, fetches: u32) {
+    for id in 5000..5000 + fetches * 5 {
+        front.now += 120.0;
+        front.ask(id, u64::from(id));
+        let far = id % 5 == 0;
+        let (latency, note) = if far { (1200.0, Note::FilledByOrigin) } else { (110.0, Note::Hit) };
+        told(front, id, Outcome::Ok, latency, note);
+    }
+}
+
+/// A front of many sees an origin fetch a second, one answer in ten: what all its answers are like says nothing of
+/// the origin until it has a queue of seconds.
+#[test]
+fn a_slow_origin_is_shielded_after_a_few_fetches_and_hits_are_not_looked_for() {
+    let mut front = Front::new(of_location(25), fleet());
+    slow_origin(&mut front, 4);
+    let to = sent(&front.ask(1, 7)).unwrap();
+    assert!(to.mode.source_holds_only && to.source != to.cache, "the parent is asked for what it holds");
+    // Back to the usual: the shield is taken away.
+    for id in 6000..6040 {
+        front.now += 300.0;
+        front.ask(id, u64::from(id));
+        told(&mut front, id, Outcome::Ok, 250.0, Note::FilledByOrigin);
+    }
+    let to = sent(&front.ask(2, 8)).unwrap();
+    assert!(!to.mode.source_holds_only && to.source != to.cache);
+}
+
+/// Origin fetches that all fronts of a location have out, each with so many misses that no parent holds.
+fn fetches_out(count: u32, misses: u32, settings: &Settings) -> usize {
+    let mut all = 0;
+    for mut front in fronts(settings, &fleet(), count) {
+        slow_origin(&mut front, 6);
+        for id in 100..100 + misses {
+            front.ask(id, u64::from(id));
+            let held = sent(&told(&mut front, id, Outcome::Miss, 20.0, Note::SourceLacks));
+            all += usize::from(held.is_some_and(|to| !to.mode.source_holds_only));
+        }
+    }
+    all
+}
+
+/// Links in are not told here. Four caches of ten transfers, half of that in, a fifth of it to the origin: four, and
+/// some for chance. A fixed part for each front, however many there are, is hundreds.
+#[test]
+fn origin_fetches_of_all_fronts_are_bounded_alike_for_few_and_many_and_never_none() {
+    for count in [1, 3, 25, 100] {
+        let out = fetches_out(count, 100, &of_location(count));
+        assert!((1..=20).contains(&out), "{out} origin fetches of {count} fronts");
+    }
+    let unknown = Settings { fronts: None, zone_fronts: vec![], ..settings() };
+    let out = fetches_out(1, 100, &unknown);
+    assert!((1..=20).contains(&out), "{out} of one that knows no number");
+    // Of ten thousand each has a small chance, and some of them take it.
+    let out = fetches_out(10_000, 3, &of_location(10_000));
+    assert!((1..=20).contains(&out), "{out} of ten thousand fronts");
+}
+
+/// Those refused in one moment are not told the same moment to come back.
+#[test]
+fn refused_clients_are_sent_back_over_a_span() {
+    let list = [parent(101), origin(201)];
+    let mut waits: Vec<Ms> = Vec::new();
+    for mut front in fronts(&of_location(25), &list, 25) {
+        for id in 0..20 {
+            let out = front.ask(id, u64::from(id));
+            let Some(Action::Refuse { retry_after: Some(wait), .. }) = out.first() else { panic!("{out:?}") };
+            waits.push(*wait);
+        }
+    }
+    assert!(waits.iter().all(|w| (250.0..=500.0).contains(w)));
+    let most = (0..25).map(|i| 250.0 + 10.0 * f64::from(i));
+    let most = most.map(|from| waits.iter().filter(|w| (from..from + 10.0).contains(*w)).count()).max();
+    assert!(most < Some(60), "{most:?} of 500 come back within 10 ms");
+}
