Draw on a parent under strain only as far as its told link bears for all fronts

What is left is one parent of 14 transfers. A hundred fronts asked it for all fills: 60 a second came back, 430 ms over their sending time (74 before), and 1,100 requests a second were refused because these late fills shrank the windows of the links in, which were free.

Ruled out: the origin (its fetches took 190 to 320 ms over their sending time, 170 usual) and the links in (the same lateness at all locations, by parent and not by location).

Line at fault: pick_source() in src/logic.rs knows no load of a parent. Under strain a parent's fills out of this front are now held to twice its told link split among all fronts, a part of one as a chance for a turn; what is over goes to the next parent, then to the origin, whose own window holds. The ordinary path is as before.

The new test has 200 fills at each parent of ten transfers on the tree before, 40 at most now.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -35,7 +35,7 @@
 const SHED: (f64, f64) = (2.0, 5.0); // multiple in the whole group at which a request is refused: least, most
 const RETRY_EARN: f64 = 0.1; // further attempts earned by a request: overload is not multiplied
 const RETRY_SAVE: f64 = 20.0; // and saved up at most
-const RETURN: f64 = 0.6; // least part of the wait that is told to those refused
+const RETURN: f64 = 0.6; // least part of the wait told to those refused: they must not come back together
 const STRAIN: (f64, f64) = (0.05, 0.12); // share of bad outcomes that ends the guard of the origin; begins it
 const STRAIN_LEARN: f64 = 0.03; // part of a new outcome in it: about 30 count
 const ORIGIN_PART: f64 = 0.2; // origin fetches out when a guard begins, over the transfers of all links in
@@ -43,10 +43,10 @@
 const FAR_LEARN: f64 = 0.3; // part of a new origin fetch in its strain: of many fronts each sees one a second
 const FAR: (f64, f64) = (0.2, 0.45); // strain that ends the shield of the origin; begins it: three in a row
 const FAR_LATE: (f64, f64) = (1.5, 4.0); // multiples of the usual wait for the origin: no strain; full strain
-const FAR_FIRST: Ms = 200.0; // usual wait for the origin before any is seen
 const WINDOW: (f64, f64) = (0.94, 1.03); // factors of a window for one front: a late fill; one in time
 const WINDOW_LEAST: f64 = 0.25; // least part of a window: less never finds the way free again
 const WINDOW_BACK: Ms = 12_000.0; // ms in which a window grows by e: a small part sees too little to tell
+const DRAWN: f64 = 2.0; // fills of all fronts at a parent under strain, over its transfers at full pace
 const TURN: Ms = 400.0; // ms for which the chance of a part of one is drawn: a try at each request is none
 const ATTEMPTS: u32 = 3; // attempts where the settings name no limit
 const TOO_LATE: Ms = 10.0; // ms before a deadline in which no attempt can come back
@@ -362,7 +362,7 @@
             started: now,
             next_step: f64::INFINITY,
             retries: RETRY_SAVE / 2.0,
-            far_usual: FAR_FIRST,
+            far_usual: 2.0 * OVERHEAD,
             salt: seed,
             ..Router::default()
         }
@@ -391,7 +391,7 @@
             Event::List { news, entries } => self.on_list(now, news, &entries, out),
             Event::Request(request) => self.on_request(now, request, out),
             Event::FirstByte { id, .. } => {
-                self.open.entry(id).and_modify(|open| open.streaming = true);
+                self.open.get_mut(&id).into_iter().for_each(|o| o.streaming = true)
             }
             Event::Reply { .. } => self.on_reply(now, event, out),
             Event::Expired { id } => self.close(id, out),
@@ -531,18 +531,15 @@
             return true;
         };
         let Some(span) = sane(self.set.fall_span) else { return true };
-        if now - self.started < span {
-            return false; // what this front sent before its restart is not known
-        }
+        let known = now - self.started >= span; // not what this front sent before its restart
         let budget = (from + (1.0 - from) * risen) * weight * multiple * span * COLD_PART / fronts;
+        // Of many fronts each has less than one request: then it is a chance of one, drawn for two spans.
+        let draw = self.draw(id, now / span / 2.0);
         let Some(member) = self.members.get_mut(&id) else { return false };
         while member.sent.front().is_some_and(|(at, _)| now - at > span) {
             member.sent.pop_front();
         }
-        // Of many fronts each has less than one request: then it is a chance of one, drawn for two spans.
-        let turn = (now / span / 2.0 + unit(hash(id.0, self.salt))) as u64;
-        let draw = unit(hash(id.0 ^ self.salt, turn));
-        member.sent.iter().map(|(_, work)| work).sum::<f64>() + work * draw <= budget
+        known && member.sent.iter().map(|(_, work)| work).sum::<f64>() + work * draw <= budget
     }
 
     fn charge(&mut self, id: MemberId, now: Ms, work: f64) {
@@ -611,7 +608,6 @@
             let ran = open.attempts.iter().any(|a| a.may_have_run());
             let keyed = class.repeat == Repeat::Keyed && class.key_scope == KeyScope::All;
             let harmless = (!ran || keyed || class.repeat == Repeat::Safe) && !open.is_unusable();
-            // Those refused together must not come back together.
             let spread = RETURN + (1.0 - RETURN) * unit(hash(u64::from(id.0), self.salt ^ 1));
             let pause = sane(self.set.max_retry_after).filter(|_| self.set.retry_after).map(|ms| ms * spread);
             out.push(if harmless && (first || now < open.deadline) {
@@ -655,7 +651,7 @@
             _ => Ask::Anything,
         };
         let source = if ask == Ask::Look { cache } else { source };
-        let draw = unit(hash(self.salt, (now / TURN + unit(self.salt)) as u64));
+        let draw = self.draw(MemberId(0), now / TURN);
         let fills = matches!(ask, Ask::Held | Ask::Origin);
         let known = self.open[&id].attempts.last().is_some_and(|a| a.ask == Ask::Held && a.missed());
         let fills_full = fills && self.near.up && !known && !self.fills.room(now, draw);
@@ -686,6 +682,7 @@
         out.push(Action::SetTimer { delay: overdue, token: Token(u64::from(id.0) << 8 | tries as u64) });
         self.origin.out += if ask == Ask::Origin { 1.0 } else { 0.0 };
         self.fills.out += if fills { 1.0 } else { 0.0 };
+        self.members.entry(source).and_modify(|m| m.out += if fills { 1.0 } else { 0.0 });
         let attempt = Attempt { cache, source, sent: now, ask, end: None, doubtful: false };
         self.open.entry(id).and_modify(|o| o.attempts.push(attempt));
         true
@@ -724,11 +721,7 @@
     /// Transfers that are this front's share of a cache at full pace; endless where links are not told.
     fn fair(&self, member: &Member) -> f64 {
         let fair = self.weight(member) / self.cold(member).map_or(1.0, |c| c.3);
-        if self.sized() {
-            fair.max(1.0)
-        } else {
-            f64::INFINITY
-        }
+        Some(fair.max(1.0)).filter(|_| self.sized()).unwrap_or(f64::INFINITY)
     }
 
     /// Whether the rule on effects lets the request go to this cache after what it has been through.
@@ -750,6 +743,11 @@
         }
     }
 
+    /// A chance for a turn: a part of one is had by some of the fronts at a time.
+    fn draw(&self, of: MemberId, turns: f64) -> f64 {
+        unit(hash(of.0 ^ self.salt, (turns + unit(hash(of.0, self.salt))) as u64))
+    }
+
     /// The first live parent of the object's group, then the origin; the cache itself where there is neither.
     fn pick_source(&mut self, now: Ms, id: RequestId, cache: MemberId) -> Option<MemberId> {
         let open = self.open.get(&id)?;
@@ -757,12 +755,16 @@
         let (mut best, mut least) = (None, u32::MAX);
         let origin = self.members.iter().find(|(_, m)| m.role == Role::Origin && m.ready()).map(|m| *m.0);
         let group = self.parents.group(open.request.object, 0);
+        let bounded = self.near.up && self.sized();
         for source in group.into_iter().chain(origin) {
             let Some(member) = self.members.get(&source).filter(|m| m.ready()) else { continue };
             let open = &self.open[&id];
             let failed =
                 open.attempts.iter().any(|a| a.source == source && a.end != Some(Outcome::Ok) && !a.missed());
-            let mut trouble = u32::from(failed) * 2 + u32::from(member.health.out(now)) * 4;
+            // Under strain a parent is drawn on by all fronts as far as its link bears, then the next one is.
+            let part = self.weight(member) * DRAWN / self.origin.fronts - self.draw(source, now / TURN);
+            let full = bounded && member.role == Role::Parent && member.out >= part;
+            let mut trouble = u32::from(failed || full) * 2 + u32::from(member.health.out(now)) * 4;
             trouble += u32::from(member.role == Role::Origin);
             if trouble < least && self.has_room(source, now, mean) {
                 (best, least) = (Some(source), trouble);
@@ -834,13 +836,16 @@
         if free && (self.near.up || self.far.up) {
             self.open_windows(now);
         }
+        let fill = matches!(ask, Ask::Held | Ask::Origin);
         if ask == Ask::Origin {
             self.origin.back(far.map(|bad| bad > 0.5));
         }
-        if matches!(ask, Ask::Held | Ask::Origin) {
+        if fill {
             self.fills.back(told.filter(|_| note != Note::Hit));
         }
-        self.members.entry(cache).and_modify(|m| m.out = (m.out - 1.0).max(0.0));
+        let less = |m: &mut Member| m.out = (m.out - 1.0).max(0.0);
+        let ended = [cache, source].into_iter().take(1 + usize::from(fill));
+        ended.for_each(|id| self.members.get_mut(&id).into_iter().for_each(less));
         match outcome {
             Outcome::Ok => {
                 let Some(open) = self.open.get(&id) else { return };
@@ -869,8 +874,7 @@
                 }
             }
             Outcome::Cancelled | Outcome::Moot | Outcome::Miss => {}
-            // Whose fault it was shows when the request is tried elsewhere.
-            _ if doubtful => {}
+            _ if doubtful => {} // whose fault it was shows when the request is tried elsewhere
             _ => {
                 // A note may tell whose failure it was; a full member is busy, not broken.
                 let told = matches!(note, Note::SourceRefused | Note::SourceLost | Note::OriginFailed);
@@ -900,14 +904,12 @@
             self.blame(now, cache, source, 0.5);
         }
         let bad = |id| self.members.get(&id).is_some_and(|m: &Member| m.health.out(now));
-        if !last || self.set.classes[class].repeat != Repeat::Safe {
-            return;
-        }
-        if !(bad(cache) || bad(source)) {
+        let may = last && self.set.classes[class].repeat == Repeat::Safe;
+        if may && !(bad(cache) || bad(source)) {
             out.push(Action::SetTimer { delay: OVERHEAD, token });
-        } else if self.set.second_copies {
+        } else if may && self.set.second_copies {
             self.send(now, id, out);
-        } else if self.set.cancel && self.retries >= 1.0 {
+        } else if may && self.set.cancel && self.retries >= 1.0 {
             out.push(Action::Cancel { id, attempt: Try(place as u8) });
         }
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -102,3 +102,38 @@
     let most = most.map(|from| waits.iter().filter(|w| (from..from + 10.0).contains(*w)).count()).max();
     assert!(most < Some(60), "{most:?} of 500 come back within 10 ms");
 }
+
+/// Fills that fronts under strain have out at each of two parents, with a hundred misses each.
+fn drawn(count: u32) -> [usize; 2] {
+    // Many locations, so that their links in are far more than what one parent's link bears.
+    let near = Some(count.div_ceil(20)).map_or(1, |n| n.max(1));
+    let zone_fronts = vec![0, 0, 0, 0, 0, 0, 0, near];
+    let settings = Settings { fronts: Some(count), zone_fronts, ..settings() };
+    let list: Vec<Listing> = (1..5).map(cache).chain([parent(101), parent(102), origin(201)]).collect();
+    let mut at = [0; 2];
+    for mut front in fronts(&settings, &list, count) {
+        for id in 5000..5040 {
+            front.ask(id, u64::from(id));
+            (0..6).for_each(|attempt| drop(front.reply(id, attempt, Outcome::Timeout)));
+        }
+        front.now += 10_000.0;
+        for id in 100..200 {
+            front.ask(id, u64::from(id));
+            let fill = sent(&front.reply(id, 0, Outcome::Miss));
+            for (place, parent) in [101, 102].into_iter().enumerate() {
+                at[place] += usize::from(fill.as_ref().is_some_and(|to| to.source == MemberId(parent)));
+            }
+        }
+    }
+    at
+}
+
+/// After a hub is lost the parents that are left are asked for all: one by a link of ten transfers, by a hundred fronts.
+/// Without a bound each front has a window full of fills out, and the parent's link makes all of them late.
+#[test]
+fn under_strain_all_fronts_draw_on_a_parent_as_far_as_its_link_bears() {
+    for count in [1, 3, 100] {
+        let at = drawn(count);
+        assert!(at.iter().all(|out| (3..=40).contains(out)), "{at:?} fills at parents of {count} fronts");
+    }
+}
