--- a/src/logic.rs
+++ b/src/logic.rs
@@ -46,7 +46,7 @@
 const WINDOW: (f64, f64) = (0.94, 1.03); // factors of a window for one front: a late fill; one in time
 const WINDOW_LEAST: f64 = 0.25; // least part of a window: less never finds the way free again
 const WINDOW_BACK: Ms = 12_000.0; // ms in which a window grows by e: a small part sees too little to tell
-const DRAWN: f64 = 2.0; // fills of all fronts at a parent under strain, over its transfers at full pace
+const DRAWN: f64 = 2.0; // fills of all fronts at a parent under strain, over what its link bears at full pace
 const TURN: Ms = 400.0; // ms for which the chance of a part of one is drawn: a try at each request is none
 const ATTEMPTS: u32 = 3; // attempts where the settings name no limit
 const TOO_LATE: Ms = 10.0; // ms before a deadline in which no attempt can come back
@@ -531,7 +531,7 @@
             return true;
         };
         let Some(span) = sane(self.set.fall_span) else { return true };
-        let known = now - self.started >= span; // not what this front sent before its restart
+        let known = now - self.started >= span; // what was sent before a restart is not
         let budget = (from + (1.0 - from) * risen) * weight * multiple * span * COLD_PART / fronts;
         // Of many fronts each has less than one request: then it is a chance of one, drawn for two spans.
         let draw = self.draw(id, now / span / 2.0);
@@ -748,7 +748,7 @@
         unit(hash(of.0 ^ self.salt, (turns + unit(hash(of.0, self.salt))) as u64))
     }
 
-    /// The first live parent of the object's group, then the origin; the cache itself where there is neither.
+    /// The first live parent of the object's group, then the origin; the cache itself if there is neither.
     fn pick_source(&mut self, now: Ms, id: RequestId, cache: MemberId) -> Option<MemberId> {
         let open = self.open.get(&id)?;
         let mean = self.classes[usize::from(open.request.class.0)].work;
@@ -761,7 +761,6 @@
             let open = &self.open[&id];
             let failed =
                 open.attempts.iter().any(|a| a.source == source && a.end != Some(Outcome::Ok) && !a.missed());
-            // Under strain a parent is drawn on by all fronts as far as its link bears, then the next one is.
             let part = self.weight(member) * DRAWN / self.origin.fronts - self.draw(source, now / TURN);
             let full = bounded && member.role == Role::Parent && member.out >= part;
             let mut trouble = u32::from(failed || full) * 2 + u32::from(member.health.out(now)) * 4;
