Ask after silent connections the later the dearer the settings say a probe is

They are the questions to connections that owe an answer and bring nothing for 0.4 s: a front of many has one request on a connection, so each long transfer was asked after.

Line at fault: QUIET in front/src/client/connection.rs, one patience whatever a question costs. It is now scaled by the told price, from 0.4 s at 0.02 or less to 1.6 s at 0.08.

--- a/front/src/client/connection.rs
+++ b/front/src/client/connection.rs
@@ -26,8 +26,8 @@
 const FORGET_GIVEN_UP: Duration = Duration::from_secs(10);
 /// A connection that owes an answer is looked at in turns, `Limits::look` apart. Turns are counted and not time:
 /// a process that was stopped for a while finds many seconds gone and the answers not read yet.
-/// After so many without a byte it is asked whether it is still there, the first time and at most,
-const QUIET: (u32, u32) = (4, 16);
+/// After so many without a byte it is asked whether it is still there, at least (`Peer::patience`) and at most,
+pub const QUIET: (u32, u32) = (4, 16);
 /// after so many without an answer to that it is of no use any more,
 const MUTE: u32 = 4;
 /// nor is it after so many in the middle of an answer.
@@ -86,12 +86,15 @@
     frames: Sender<(Token, Vec<u8>)>,
     /// How often bytes have come.
     reads: AtomicU64,
+    patience: u32,
     stream: Mutex<Option<Arc<TcpStream>>>,
 }
 
 pub struct Peer {
     pub addr: SocketAddr,
     pub connect_timeout: Duration,
+    /// Looks without a byte until it is first asked whether it is still there.
+    pub patience: u32,
 }
 
 impl Connection {
@@ -104,11 +107,12 @@
             last_used: Instant::now(),
             seen: 0,
             quiet: 0,
-            patience: QUIET.0,
+            patience: peer.patience,
             asked: false,
         };
         let (table, reads) = (Mutex::new(table), AtomicU64::new(0));
-        let connection = Arc::new(Connection { table, frames, reads, stream: Mutex::new(None) });
+        let connection =
+            Arc::new(Connection { table, frames, reads, patience: peer.patience, stream: Mutex::new(None) });
         let own = connection.clone();
         spawn("node-writer", move || {
             // A panic stops at the connection: what is open on it still ends.
@@ -188,7 +192,7 @@
         let out = |s: &Slot| matches!(s.purpose, Purpose::Attempt(_)) && s.progress.may_have_run();
         let owes = table.slots.values().any(out);
         if table.closed || !owes || table.seen != reads {
-            table.patience = if !owes { QUIET.0 } else { table.patience };
+            table.patience = if !owes { self.patience } else { table.patience };
             (table.seen, table.quiet) = (reads, 0);
             if std::mem::take(&mut table.asked) {
                 table.patience = (table.patience * 2).min(QUIET.1);
--- a/front/src/client/pool.rs
+++ b/front/src/client/pool.rs
@@ -8,7 +8,7 @@
 use crossbeam_channel::Sender;
 use elmtide::{MemberId, Ms};
 
-use crate::client::connection::{Connection, Peer, Room};
+use crate::client::connection::{Connection, Peer, Room, QUIET};
 use crate::exchange::*;
 use crate::memory::counters::Counters;
 use crate::memory::members::Members;
@@ -23,6 +23,21 @@
     pub connections: usize,
     /// Whether nodes may be asked if they are there.
     pub probes: bool,
+    /// Looks at a connection that brings nothing until that is asked.
+    pub patience: u32,
+}
+
+/// Up to this price of one probe for each request, in parts of the service, a silent connection is asked at once.
+const CHEAP: f64 = 0.02;
+
+impl Limits {
+    /// How many looks to wait before a question of this price: a front of many has one request on a connection, so
+    /// each answer that takes its time would be asked after, by all fronts.
+    pub fn patience(price: Option<f64>) -> u32 {
+        let (least, most) = QUIET;
+        let dear = price.filter(|p| p.is_finite()).map_or(1.0, |p| p / CHEAP);
+        ((f64::from(least) * dear) as u32).clamp(least, most)
+    }
 }
 
 /// Attempts on one connection, as long as others may be opened: one spoilt answer takes all of them with it.
@@ -80,7 +95,8 @@
             let many = Room { streams, alone: false };
             return open.iter().find(|c| c.try_send(tag, purpose, frame.clone(), many)).cloned();
         }
-        let peer = Peer { addr, connect_timeout: self.limits.connect_timeout };
+        let Limits { connect_timeout, patience, .. } = self.limits;
+        let peer = Peer { addr, connect_timeout, patience };
         let connection = Connection::open(peer, self.inputs.clone(), self.counters.clone()).ok()?;
         connection.try_send(tag, purpose, frame, few);
         self.connections.entry(member).or_default().push(connection.clone());
@@ -169,3 +185,20 @@
         self.born.retain(|id, _| members.get(*id).is_some());
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A hundred fronts that ask after each slow answer pay for it by what the settings say.
+    #[test]
+    fn the_dearer_a_probe_the_longer_a_silent_connection_is_left_alone() {
+        assert_eq!(Limits::patience(None), QUIET.0);
+        assert_eq!(Limits::patience(Some(0.011)), QUIET.0);
+        assert_eq!(Limits::patience(Some(0.04)), 2 * QUIET.0);
+        assert_eq!(Limits::patience(Some(0.08)), QUIET.1);
+        for odd in [0.0, -1.0, f64::NAN, f64::INFINITY, 1e300] {
+            assert!((QUIET.0..=QUIET.1).contains(&Limits::patience(Some(odd))), "{odd}");
+        }
+    }
+}
--- a/front/src/lifecycle/config.rs
+++ b/front/src/lifecycle/config.rs
@@ -78,6 +78,7 @@
             streams_per_connection: limit("StreamsPerConn", 100.0) as usize,
             connections: sockets / 3,
             probes: settings.probes,
+            patience: Limits::patience(told["Deductions"]["Probe"].as_f64()),
         };
         Ok(Config {
             name: root["name"].as_str().unwrap_or("front").to_owned(),
