--- a/front/src/client/bus.rs
+++ b/front/src/client/bus.rs
@@ -1,6 +1,7 @@
 //! Follows the event bus: reads on from the last event it has, for as long as the front runs.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -25,6 +26,9 @@
 const WHOLE: Duration = Duration::from_millis(700);
 const CONNECT: Duration = Duration::from_millis(500);
 const PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
+/// Parts of a pause that are waited, drawn for each front and failure: what fails all fronts at once must not bring them
+/// back at once.
+const SPREAD: (f64, f64) = (0.4, 1.0);
 /// A response longer than this is none of the bus's.
 const LONGEST: usize = 1 << 20;
 
@@ -98,6 +102,15 @@
     pub last: u64,
     pub inputs: Sender<Input>,
     pub counters: Arc<Counters>,
+    pub seed: u64,
+}
+
+/// The pause of a front after so many failures.
+fn spread(pause: Duration, seed: u64, failures: u64) -> Duration {
+    let mut hasher = DefaultHasher::new();
+    (seed, failures).hash(&mut hasher);
+    let part = hasher.finish() as f64 / u64::MAX as f64;
+    pause.mul_f64(SPREAD.0 + (SPREAD.1 - SPREAD.0) * part)
 }
 
 impl Feed {
@@ -136,9 +149,10 @@
                 pause = PAUSE.0;
                 continue;
             }
-            self.counters.bus_failures.fetch_add(1, Relaxed);
-            eprintln!("bus: {failed}; asking again in {} ms", pause.as_millis());
-            bus.wait(addr, pause);
+            let failures = self.counters.bus_failures.fetch_add(1, Relaxed);
+            let wait = spread(pause, self.seed, failures);
+            eprintln!("bus: {failed}; asking again within {} ms", pause.as_millis());
+            bus.wait(addr, wait);
             pause = (pause * 2).min(PAUSE.1);
         }
     }
@@ -265,3 +279,21 @@
         bytes.extend_from_slice(&chunk[..got]);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A bus that falls silent does so for all fronts in one moment: counted, 100 of 100 asked again within 50 ms.
+    #[test]
+    fn a_hundred_fronts_do_not_ask_a_silent_bus_again_together() {
+        let mut waits: Vec<Duration> = (0..100).map(|seed| spread(PAUSE.1, seed * 7919, 3)).collect();
+        waits.sort();
+        assert!(waits[0] >= PAUSE.1.mul_f64(SPREAD.0) && waits[99] <= PAUSE.1.mul_f64(SPREAD.1));
+        let span = PAUSE.1 / 10;
+        let together =
+            waits.iter().map(|from| waits.iter().filter(|w| (*from..*from + span).contains(w)).count());
+        assert!(together.max() < Some(30), "{waits:?}");
+        assert_ne!(spread(PAUSE.1, 1, 1), spread(PAUSE.1, 1, 2));
+    }
+}
--- a/front/src/lifecycle/serve.rs
+++ b/front/src/lifecycle/serve.rs
@@ -65,8 +65,13 @@
     let at = listener.local_addr().map_err(|e| e.to_string())?;
 
     // The list of the start goes in before the first request can.
-    let mut feed =
-        Feed { names: config.names.clone(), last: 0, inputs: inputs.clone(), counters: counters.clone() };
+    let mut feed = Feed {
+        names: config.names.clone(),
+        last: 0,
+        inputs: inputs.clone(),
+        counters: counters.clone(),
+        seed: config.seed,
+    };
     let pool = Pool::new(config.pool, inputs.clone(), counters.clone());
     let engine = Engine::new(config.settings, config.seed, pool, counters.clone());
     let stopped = start_engine(engine, events)?;
