Spread the waits of refusals that the engine gives by itself

Seen in review: the module tells 0.6 to 1 of the longest wait, but the engine's own refusals (drain, full table, nothing sent by half the time, cells taken away) told the longest to all. Lines at fault: the three uses of wait_ms in front/src/engine/mod.rs. They now go by pause(), drawn from seed and request; the draw is one function in process/ that the bus's pauses use too, where it was written out.

Checked: the new test fails with the spread taken out; all tests of the program pass.

--- a/front/src/client/bus.rs
+++ b/front/src/client/bus.rs
@@ -1,7 +1,6 @@
 //! Follows the event bus: reads on from the last event it has, for as long as the front runs.
 
 use std::collections::BTreeMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -15,6 +14,7 @@
 use crate::exchange::{Input, ListSource, MemberNews, MembersNews};
 use crate::memory::counters::Counters;
 use crate::memory::members::member_id;
+use crate::process::part;
 use crate::wire::bus::{self, Batch, Server, State};
 use crate::wire::http::{self, Body};
 
@@ -107,10 +107,7 @@
 
 /// The pause of a front after so many failures.
 fn spread(pause: Duration, seed: u64, failures: u64) -> Duration {
-    let mut hasher = DefaultHasher::new();
-    (seed, failures).hash(&mut hasher);
-    let part = hasher.finish() as f64 / u64::MAX as f64;
-    pause.mul_f64(SPREAD.0 + (SPREAD.1 - SPREAD.0) * part)
+    pause.mul_f64(SPREAD.0 + (SPREAD.1 - SPREAD.0) * part(seed, failures))
 }
 
 impl Feed {
--- a/front/src/engine/mod.rs
+++ b/front/src/engine/mod.rs
@@ -19,7 +19,7 @@
 use crate::memory::announced::Announced;
 use crate::memory::counters::Counters;
 use crate::memory::exchanges::Exchanges;
-use crate::process::clock;
+use crate::process::{clock, part};
 
 /// After this long past a deadline the engine answers by itself, whatever the module does.
 const BACKSTOP: Ms = 15.0;
@@ -28,6 +28,8 @@
 /// By this part of its time a request has been written whole to some node, or it is refused: told early that nothing
 /// has run, a client can still do something about it.
 const UNSENT: f64 = 0.45;
+/// Least part of the longest wait that is told to those refused here, as the module does.
+const RETURN: f64 = 0.6;
 const SWEEP: Ms = 1000.0;
 /// Cells look at what waits and what moves so often.
 const CELLS: Ms = 50.0;
@@ -213,7 +215,7 @@
             if let Some(cells) = self.cells.take() {
                 self.router_names = cells.names;
             }
-            waiting.into_iter().for_each(|id| self.refuse(id, self.wait_ms));
+            waiting.into_iter().for_each(|id| self.refuse(id, self.pause(id)));
             eprintln!("cells: there are none any more");
             return;
         };
@@ -270,6 +272,12 @@
         self.tell(router, Event::Request(request));
     }
 
+    /// When to come back, told to one whom the engine refuses by itself.
+    fn pause(&self, id: RequestId) -> Option<u64> {
+        let spread = RETURN + (1.0 - RETURN) * part(self.seed, u64::from(id.0));
+        self.wait_ms.map(|ms| (ms as f64 * spread) as u64)
+    }
+
     fn refuse(&mut self, id: RequestId, wait_ms: Option<u64>) {
         if self.exchanges.answer(id, Answer::Refused { wait_ms }) {
             self.counters.refused.fetch_add(1, Relaxed);
@@ -304,7 +312,8 @@
         let left = incoming.deadline - self.now;
         if late || self.exchanges.is_full() {
             self.counters.refused.fetch_add(1, Relaxed);
-            return incoming.responder.answer(Answer::Refused { wait_ms: self.wait_ms });
+            let wait_ms = self.pause(incoming.id);
+            return incoming.responder.answer(Answer::Refused { wait_ms });
         }
         let request = Request {
             id: incoming.id,
@@ -521,7 +530,8 @@
         if exchange.is_answered() || exchange.may_have_run || out {
             return;
         }
-        exchange.answer(Answer::Refused { wait_ms: self.wait_ms });
+        let wait_ms = self.pause(id);
+        self.exchanges.answer(id, Answer::Refused { wait_ms });
         self.counters.refused.fetch_add(1, Relaxed);
         self.over(id, Ended::Lost);
         self.expired(id);
@@ -572,9 +582,10 @@
     }
 
     /// The answer to a request of 400 ms, and after how much of them it came.
-    fn asked(written: bool) -> (Answer, Ms) {
+    fn asked(written: bool, seed: u64) -> (Answer, Ms) {
         let class = ClassSettings { aim: 100.0, deadline: 400.0, ..ClassSettings::default() };
         let settings = Settings { classes: vec![class], cancel: true, ..Settings::default() };
+        let settings = Settings { retry_after: true, max_retry_after: Some(500.0), ..settings };
         let (inputs, events) = unbounded();
         let member = MemberId(1);
         let (weight, zone, kind) = (1.0, Default::default(), Default::default());
@@ -608,7 +619,7 @@
             responder: Responder::new(move |a| to.lock().unwrap().send((a, clock::unix_ms())).unwrap()),
         };
         inputs.send(Input::Taken(incoming)).unwrap();
-        let engine = Engine::new(settings, 1, Silent(written), Arc::default());
+        let engine = Engine::new(settings, seed, Silent(written), Arc::default());
         let run = std::thread::spawn(move || engine.run(&events));
         let (answer, at) = answer.recv_timeout(Duration::from_secs(20)).unwrap();
         inputs.send(Input::Stop).unwrap();
@@ -619,11 +630,23 @@
     /// A request that no node was sent whole is not held past half its time; one that was waits for its end.
     #[test]
     fn what_could_not_be_sent_is_refused_before_half_its_time() {
-        let (answer, after) = asked(false);
+        let (answer, after) = asked(false, 1);
         assert!(matches!(answer, Answer::Refused { .. }), "{answer:?}");
         assert!(after >= 150.0, "after {after} ms: it was given a chance");
-        let (answer, after) = asked(true);
+        let (answer, after) = asked(true, 1);
         assert!(answer != Answer::Served(Copy { bytes: vec![], digest: None, client_has_it: false }));
         assert!(after >= 380.0, "after {after} ms, while it was out");
     }
+
+    /// A trouble that has many fronts refuse by themselves does not bring all their clients back in one moment.
+    #[test]
+    fn fronts_that_refuse_by_themselves_tell_different_waits() {
+        let wait = |seed| match asked(false, seed).0 {
+            Answer::Refused { wait_ms: Some(wait) } => wait,
+            other => panic!("{other:?}"),
+        };
+        let waits: Vec<u64> = (1..5).map(wait).collect();
+        assert!(waits.iter().all(|w| (300..=500).contains(w)), "{waits:?}");
+        assert!(waits.iter().any(|w| *w != waits[0]), "{waits:?}");
+    }
 }
--- a/front/src/process/mod.rs
+++ b/front/src/process/mod.rs
@@ -3,6 +3,7 @@
 pub mod clock;
 pub mod log;
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::thread::{Builder, JoinHandle};
 
@@ -12,3 +13,11 @@
 pub fn spawn(name: &str, body: impl FnOnce() + Send + 'static) -> io::Result<JoinHandle<()>> {
     Builder::new().name(name.into()).stack_size(STACK).spawn(body)
 }
+
+/// A part of one, drawn for this front and occasion: what happens to all fronts at once must not bring them, or those
+/// whom they turn away, back at once.
+pub fn part(seed: u64, occasion: u64) -> f64 {
+    let mut hasher = DefaultHasher::new();
+    (seed, occasion).hash(&mut hasher);
+    hasher.finish() as f64 / u64::MAX as f64
+}
