--- a/front/src/client/connection.rs
+++ b/front/src/client/connection.rs
@@ -13,6 +13,7 @@
 
 use crate::exchange::{AttemptKey, Copy, Input, Progress, Returned, Token};
 use crate::memory::counters::Counters;
+use crate::memory::figures::ClassTally;
 use crate::process::spawn;
 use crate::wire::lines::{Answer, Word, LONGEST_LINE};
 
@@ -50,6 +51,8 @@
 #[derive(Debug)]
 struct Slot {
     purpose: Purpose,
+    /// Where an attempt that is written whole is counted.
+    tally: Option<Arc<ClassTally>>,
     progress: Progress,
     since: Instant,
     alone: bool,
@@ -136,6 +139,7 @@
         purpose: Result<AttemptKey, MemberId>,
         frame: Vec<u8>,
         room: Room,
+        tally: Option<&Arc<ClassTally>>,
     ) -> bool {
         let mut table = self.table();
         let now = Instant::now();
@@ -150,7 +154,8 @@
         }
         let purpose = purpose.map_or_else(Purpose::Probe, Purpose::Attempt);
         let (progress, alone) = (Progress::NotConnected, room.alone);
-        table.slots.insert(tag.clone(), Slot { purpose, progress, since: now, alone });
+        let tally = tally.cloned();
+        table.slots.insert(tag.clone(), Slot { purpose, tally, progress, since: now, alone });
         table.last_used = now;
         true
     }
@@ -208,7 +213,7 @@
             self.shut();
         } else if let Some(frame) = asking.filter(|_| !cut && !table.asked && table.quiet >= table.patience) {
             let (purpose, progress, since) = (Purpose::Ping, Progress::Whole, Instant::now());
-            table.slots.insert(ping.clone(), Slot { purpose, progress, since, alone: false });
+            table.slots.insert(ping.clone(), Slot { purpose, tally: None, progress, since, alone: false });
             let _ = self.frames.try_send((ping.clone(), frame));
             (table.asked, table.quiet) = (true, 0);
         }
@@ -275,15 +280,18 @@
             return;
         }
         while let Ok((tag, frame)) = queue.recv() {
-            match self.admit(&tag, inputs) {
+            let tally = match self.admit(&tag, inputs) {
                 Admitted::Closed => return,
                 Admitted::Skipped => continue,
-                Admitted::Yes => {}
-            }
+                Admitted::Yes(tally) => tally,
+            };
             if write_counted(&stream, &frame) < frame.len() {
                 self.table().slots.entry(tag).and_modify(|s| s.progress = Progress::PartlyWritten);
                 return;
             }
+            if let Some(tally) = tally {
+                tally.attempts.fetch_add(1, Relaxed);
+            }
         }
     }
 
@@ -296,7 +304,7 @@
         }
         let Some(slot) = table.slots.get_mut(tag) else { return Admitted::Skipped };
         if slot.progress != Progress::NotConnected {
-            return Admitted::Yes;
+            return Admitted::Yes(None);
         }
         if slot.since.elapsed() > STALE {
             let (purpose, progress) = (slot.purpose, slot.progress);
@@ -306,7 +314,7 @@
             return Admitted::Skipped;
         }
         slot.progress = Progress::Whole;
-        Admitted::Yes
+        Admitted::Yes(slot.tally.take())
     }
 
     fn read(&self, stream: &TcpStream, inputs: &Sender<Input>) {
@@ -368,7 +376,8 @@
 }
 
 enum Admitted {
-    Yes,
+    /// With the counts to add the attempt to, once it is written whole.
+    Yes(Option<Arc<ClassTally>>),
     Skipped,
     Closed,
 }
--- a/front/src/client/pool.rs
+++ b/front/src/client/pool.rs
@@ -11,6 +11,7 @@
 use crate::client::connection::{Connection, Peer, Room, QUIET};
 use crate::exchange::*;
 use crate::memory::counters::Counters;
+use crate::memory::figures::ClassTally;
 use crate::memory::members::Members;
 use crate::wire::lines::{never_mind, there, Want};
 
@@ -82,23 +83,24 @@
         purpose: Result<AttemptKey, MemberId>,
         frame: Vec<u8>,
         alone: bool,
+        tally: Option<&Arc<ClassTally>>,
     ) -> Option<Arc<Connection>> {
         let addr = self.members.get(member).and_then(|m| m.addr)?;
         let streams = self.limits.streams_per_connection;
         let open = self.connections.entry(member).or_default();
         let few = Room { streams: streams.min(SHARE), alone };
-        if let Some(found) = open.iter().find(|c| c.try_send(tag, purpose, frame.clone(), few)) {
+        if let Some(found) = open.iter().find(|c| c.try_send(tag, purpose, frame.clone(), few, tally)) {
             return Some(found.clone());
         }
         if self.connections.values().map(Vec::len).sum::<usize>() >= self.limits.connections {
             let open = self.connections.get(&member)?;
             let many = Room { streams, alone: false };
-            return open.iter().find(|c| c.try_send(tag, purpose, frame.clone(), many)).cloned();
+            return open.iter().find(|c| c.try_send(tag, purpose, frame.clone(), many, tally)).cloned();
         }
         let Limits { connect_timeout, patience, .. } = self.limits;
         let peer = Peer { addr, connect_timeout, patience };
         let connection = Connection::open(peer, self.inputs.clone(), self.counters.clone()).ok()?;
-        connection.try_send(tag, purpose, frame, few);
+        connection.try_send(tag, purpose, frame, few, tally);
         self.connections.entry(member).or_default().push(connection.clone());
         Some(connection)
     }
@@ -125,7 +127,8 @@
             body: &passed.body,
         };
         let frame = want.encode();
-        let connection = self.dispatch(order.cache, &passed.job, Ok(order.key), frame, passed.once);
+        let connection =
+            self.dispatch(order.cache, &passed.job, Ok(order.key), frame, passed.once, Some(&passed.tally));
         let connection = connection.ok_or(Progress::NotConnected)?;
         self.out.insert(order.key, (connection, passed.job.clone()));
         Ok(())
@@ -146,7 +149,9 @@
 
     fn probe(&mut self, member: MemberId) -> bool {
         let tag = self.tag();
-        tag.is_some_and(|tag| self.dispatch(member, &tag, Err(member), there(tag.as_str()), false).is_some())
+        tag.is_some_and(|tag| {
+            self.dispatch(member, &tag, Err(member), there(tag.as_str()), false, None).is_some()
+        })
     }
 
     fn look(&mut self) {
--- a/front/src/engine/mod.rs
+++ b/front/src/engine/mod.rs
@@ -615,6 +615,7 @@
                 body: Vec::new(),
                 once: false,
                 _held: Budget::new(0).held(),
+                tally: Arc::default(),
             }),
             responder: Responder::new(move |a| to.lock().unwrap().send((a, clock::unix_ms())).unwrap()),
         };
--- a/front/src/exchange.rs
+++ b/front/src/exchange.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use crate::memory::budget::Held;
+use crate::memory::figures::{ClassTally, Ended, InFlight};
 use elmtide_cells::{Layout, ShopId};
 
 use elmtide::{ClassId, FillMode, MemberId, Ms, Note, ObjectId, Outcome, PurgeGroup, RequestId, Try};
@@ -51,6 +52,8 @@
     pub once: bool,
     /// What the request holds of the bytes allowed to all.
     pub _held: Held,
+    /// The counts of its class.
+    pub tally: Arc<ClassTally>,
 }
 
 /// A request that has come whole, with the fields that decisions need.
@@ -94,13 +97,19 @@
 type Sink = Box<dyn FnOnce(Answer) + Send>;
 
 /// Takes the final answer to whoever asked. It is used up by answering, so there is never a second one; dropped
-/// without one, it answers 'failed', so there is always a first.
-pub struct Responder(Option<Sink>);
+/// without one, it answers 'failed', so there is always a first. Where it is counted, the answer is counted here.
+pub struct Responder(Option<Sink>, Option<InFlight>);
 
 impl Responder {
     /// The sink is called by the engine: it may not block.
     pub fn new(sink: impl FnOnce(Answer) + Send + 'static) -> Responder {
-        Responder(Some(Box::new(sink)))
+        Responder(Some(Box::new(sink)), None)
+    }
+
+    /// Counts its answer, and is in flight until then.
+    pub fn counted(mut self, flight: InFlight) -> Responder {
+        self.1 = Some(flight);
+        self
     }
 
     pub fn answer(mut self, answer: Answer) {
@@ -110,10 +119,21 @@
     /// The client has left: no answer is owed.
     pub fn discard(mut self) {
         self.0 = None;
+        if let Some(flight) = self.1.take() {
+            flight.end(Ended::Left);
+        }
     }
 
     fn give(&mut self, answer: Answer) {
         if let Some(sink) = self.0.take() {
+            let ended = match &answer {
+                Answer::Served(_) => Ended::Served,
+                Answer::Refused { .. } => Ended::Refused,
+                Answer::Failed => Ended::Failed,
+            };
+            if let Some(flight) = self.1.take() {
+                flight.end(ended);
+            }
             sink(answer);
         }
     }
--- a/front/src/lifecycle/config.rs
+++ b/front/src/lifecycle/config.rs
@@ -16,6 +16,8 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
+    /// Where the operators call: `$LB_MANAGEMENT`, else `management` of the file; none on the older days.
+    pub management: Option<SocketAddr>,
     pub bus: SocketAddr,
     pub seed: u64,
     pub sockets: usize,
@@ -80,9 +82,17 @@
             probes: settings.probes,
             patience: Limits::patience(told["Deductions"]["Probe"].as_f64()),
         };
+        let management = match std::env::var("LB_MANAGEMENT").ok().filter(|t| !t.is_empty()) {
+            Some(text) => {
+                Some(text.parse().map_err(|_| format!("LB_MANAGEMENT is {text:?}, which is no address"))?)
+            }
+            None if root["management"].is_string() => Some(address(&root, "management")?),
+            None => None,
+        };
         Ok(Config {
             name: root["name"].as_str().unwrap_or("front").to_owned(),
             listen,
+            management,
             bus: address(&root, "bus")?,
             seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed is {seed:?}"))?,
             sockets,
--- a/front/src/lifecycle/reload.rs
+++ b/front/src/lifecycle/reload.rs
@@ -2,10 +2,12 @@
 
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::sync::atomic::Ordering::Relaxed;
 use std::sync::Arc;
 
 use crate::client::bus::Whereabouts;
 use crate::lifecycle::config::Config;
+use crate::memory::counters::Counters;
 
 /// What a running front can take over from its file, and what it can't.
 pub struct Reload<R> {
@@ -13,6 +15,7 @@
     pub name: String,
     pub listen: SocketAddr,
     pub bus: Arc<Whereabouts>,
+    pub counters: Arc<Counters>,
 }
 
 impl<R: Fn() -> Result<Config, String>> Reload<R> {
@@ -20,8 +23,14 @@
     pub fn run(&self) {
         let taken = catch_unwind(AssertUnwindSafe(|| self.take_over()));
         match taken.unwrap_or_else(|_| Err("a panic".into())) {
-            Ok(what) => eprintln!("reload: {what}"),
-            Err(why) => eprintln!("reload: nothing changes: {why}"),
+            Ok(what) => {
+                self.counters.figures.reloads_ok.fetch_add(1, Relaxed);
+                eprintln!("reload: {what}")
+            }
+            Err(why) => {
+                self.counters.figures.reloads_failed.fetch_add(1, Relaxed);
+                eprintln!("reload: nothing changes: {why}")
+            }
         }
     }
 
--- a/front/src/lifecycle/serve.rs
+++ b/front/src/lifecycle/serve.rs
@@ -1,6 +1,5 @@
 //! Runs a front: start in order, ready, drain at SIGTERM, stop.
 
-use std::net::TcpListener;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
@@ -20,6 +19,7 @@
 use crate::exchange::Input;
 use crate::lifecycle::cells::CellsInForce;
 use crate::lifecycle::edge::Edge;
+use crate::lifecycle::listener;
 use crate::lifecycle::reload::Reload;
 use crate::lifecycle::{config::Config, control};
 use crate::memory::budget::Budget;
@@ -30,6 +30,7 @@
 use crate::server::clients::Clients;
 use crate::server::dns;
 use crate::server::http::Site;
+use crate::server::management::Management;
 use crate::server::sockets::Sockets;
 use crate::server::Intake;
 
@@ -59,8 +60,13 @@
         Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
     let counters = Arc::new(Counters::default());
     let (inputs, events) = bounded(EVENTS);
-    let listener =
-        TcpListener::bind(config.listen).map_err(|e| format!("listen on {}: {e}", config.listen))?;
+    let handed = std::env::var("LB_FD").ok();
+    let (listener, origin) = listener::clients(handed.as_deref(), config.listen)?;
+    if let Some(at) = config.management {
+        let management = Management::bind(at, counters.clone())?;
+        eprintln!("management: calls are taken at {at}");
+        management.start()?;
+    }
 
     let at = listener.local_addr().map_err(|e| e.to_string())?;
 
@@ -77,7 +83,13 @@
     let stopped = start_engine(engine, events)?;
     feed.apply(Ok((config.known, Vec::new())))?;
     let bus = Arc::new(Whereabouts::new(config.bus));
-    let reload = Reload { read, name: config.name.clone(), listen: config.listen, bus: bus.clone() };
+    let reload = Reload {
+        read,
+        name: config.name.clone(),
+        listen: config.listen,
+        bus: bus.clone(),
+        counters: counters.clone(),
+    };
     spawn("bus", move || feed.follow(&bus)).map_err(|e| format!("bus thread: {e}"))?;
 
     let bodies = Budget::new(config.memory / BODIES);
@@ -121,7 +133,7 @@
         }
         running = Some(edge);
     }
-    let sockets = Sockets::new(listener, clients, intake).map_err(|e| format!("epoll: {e}"))?;
+    let sockets = Sockets::new(listener, origin, clients, intake).map_err(|e| format!("epoll: {e}"))?;
     let ended = inputs.clone();
     let run = move || {
         // Without this thread the program is deaf: it ends, and is started again.
@@ -130,7 +142,8 @@
     };
     spawn("clients", run).map_err(|e| format!("clients' thread: {e}"))?;
     counters.ready.store(true, Relaxed);
-    eprintln!("ready: {} listens on {at}, pid {}", config.name, std::process::id());
+    counters.mode.serves();
+    eprintln!("ready: {} listens on {at} ({origin:?}), pid {}", config.name, std::process::id());
 
     let (term, terms) = bounded(1);
     let shown = counters.clone();
@@ -149,7 +162,8 @@
         recv(terms) -> _ => {}
         recv(stopped) -> _ => return Err("the engine has stopped".into()),
     }
-    eprintln!("draining: {} requests are open", counters.open.load(Relaxed));
+    counters.mode.end();
+    eprintln!("draining: {} requests are open", counters.figures.in_flight());
     if let Some(edge) = running {
         edge.end();
     }
--- a/front/src/memory/counters.rs
+++ b/front/src/memory/counters.rs
@@ -6,6 +6,9 @@
 
 use elmtide::Outcome;
 
+use crate::memory::figures::Figures;
+use crate::memory::mode::Mode;
+
 const OUTCOMES: [&str; 9] =
     ["ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot", "miss"];
 
@@ -26,6 +29,10 @@
     pub by_cell: [AtomicU64; 6],
     /// Requests can be taken in: shown to other fronts, not counted.
     pub ready: AtomicBool,
+    /// Serving, paused or ending: what readiness says.
+    pub mode: Mode,
+    /// What the management address shows.
+    pub figures: Arc<Figures>,
     /// Counts of the name server, where there is one.
     pub dns: OnceLock<Arc<elmtide_dns::answer::Counts>>,
     unwritten: AtomicU64,
--- a/front/src/memory/mod.rs
+++ b/front/src/memory/mod.rs
@@ -4,6 +4,8 @@
 pub mod budget;
 pub mod counters;
 pub mod exchanges;
+pub mod figures;
 pub mod ledger;
 pub mod members;
+pub mod mode;
 pub mod resolved;
--- a/front/src/server/fastcgi.rs
+++ b/front/src/server/fastcgi.rs
@@ -94,6 +94,8 @@
     serials: u64,
     /// Requests in a row that could not be used.
     unusable: u32,
+    /// A whole request has come.
+    brought: bool,
     /// What is to be written.
     pub out: VecDeque<Chunk>,
 }
@@ -120,6 +122,7 @@
             open: HashMap::new(),
             serials: 0,
             unusable: 0,
+            brought: false,
             out: VecDeque::new(),
         }
     }
@@ -152,10 +155,23 @@
         }
         if let Some(open) = self.open.remove(&delivery.slot) {
             let bytes = answer(delivery);
-            self.out.push_back(Chunk { bytes, last: !open.keep, _owed: Some(open.owed) });
+            // A client sent away takes its last answer, and then the connection ends.
+            let away = self.intake.counters.mode.sends_away() && self.is_idle();
+            self.out.push_back(Chunk { bytes, last: !open.keep || away, _owed: Some(open.owed) });
         }
     }
 
+    /// Nothing is open, coming in or begun on this connection.
+    pub fn is_idle(&self) -> bool {
+        self.open.is_empty() && self.half.is_empty() && self.input.is_empty()
+    }
+
+    /// Has brought a request and has nothing open now: a client sent away has had its answers. One that has
+    /// brought nothing yet may be one that came just before readiness said no, and is served first.
+    pub fn is_done(&self) -> bool {
+        self.brought && self.is_idle()
+    }
+
     fn say(&mut self, put: impl FnOnce(&mut Vec<u8>)) {
         self.end(true, put);
     }
@@ -271,6 +287,7 @@
     fn complete(&mut self, id: u16) -> Result<(), Broken> {
         let came = clock::unix_ms();
         let Some(half) = self.half.remove(&id) else { return Ok(()) };
+        self.brought = true;
         let mut fields = Fields::default();
         let mut path: &[u8] = b"";
         for pair in Pairs(&half.params) {
@@ -289,8 +306,12 @@
         }
         if path == HEALTH {
             self.client.heard();
+            let (head, body): (&[u8], &[u8]) = match self.intake.counters.mode.is_ready() {
+                true => (b"Status: 200 OK\r\nContent-Type: text/plain\r\n\r\n", b"ok\n"),
+                false => (b"Status: 503 Service Unavailable\r\nContent-Type: text/plain\r\n\r\n", b"no\n"),
+            };
             self.end(half.keep, |out| {
-                fastcgi::stdout(out, id, b"Status: 200 OK\r\nContent-Type: text/plain\r\n\r\n", b"ok\n");
+                fastcgi::stdout(out, id, head, body);
                 fastcgi::end_request(out, id, 0, ProtocolStatus::RequestComplete);
             });
             return Ok(());
--- /dev/null
+++ b/front/src/server/management.rs
@@ -0,0 +1,142 @@
+//! The management address: `STATUS`, `METRICS`, `PAUSE`, `RESUME`, one line a connection.
+//!
+//! One thread serves every caller as it becomes ready (epoll), so a caller that says nothing holds a slot and no
+//! thread: a `STATUS` is answered at once beside hundreds that stay silent. Callers are bounded; at the bound the
+//! oldest makes room. Each has `BRING` to bring its line; a reply that the caller does not take in is dropped.
+
+use std::collections::HashMap;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rustix::buffer::spare_capacity;
+use rustix::event::epoll::{self, EventData, EventFlags};
+use rustix::event::Timespec;
+
+use crate::memory::counters::Counters;
+use crate::process::spawn;
+use crate::wire::management::{self, Call, LONGEST};
+
+/// Callers at a time.
+const CALLERS: usize = 512;
+/// A caller brings its line within so long.
+const BRING: Duration = Duration::from_secs(5);
+/// How often overdue callers are looked for.
+const TURN: Duration = Duration::from_millis(100);
+const LISTENER: u64 = 0;
+
+struct Caller {
+    stream: TcpStream,
+    came: Vec<u8>,
+    since: Instant,
+}
+
+pub struct Management {
+    epoll: OwnedFd,
+    listener: TcpListener,
+    counters: Arc<Counters>,
+    callers: HashMap<u64, Caller>,
+    next: u64,
+}
+
+impl Management {
+    pub fn bind(at: SocketAddr, counters: Arc<Counters>) -> Result<Management, String> {
+        let listener = TcpListener::bind(at).map_err(|e| format!("management address {at}: {e}"))?;
+        listener.set_nonblocking(true).map_err(|e| e.to_string())?;
+        let epoll = epoll::create(epoll::CreateFlags::CLOEXEC).map_err(|e| e.to_string())?;
+        epoll::add(&epoll, &listener, EventData::new_u64(LISTENER), EventFlags::IN)
+            .map_err(|e| e.to_string())?;
+        Ok(Management { epoll, listener, counters, callers: HashMap::new(), next: LISTENER + 1 })
+    }
+
+    /// Serves on a thread of its own for as long as the program runs.
+    pub fn start(self) -> Result<(), String> {
+        spawn("management", move || self.run()).map(drop).map_err(|e| format!("management thread: {e}"))
+    }
+
+    fn run(mut self) {
+        let mut events: Vec<epoll::Event> = Vec::with_capacity(64);
+        let timeout = Timespec { tv_sec: 0, tv_nsec: TURN.as_nanos() as i64 };
+        loop {
+            events.clear();
+            let _ = epoll::wait(&self.epoll, spare_capacity(&mut events), Some(&timeout));
+            for event in &events {
+                match event.data.u64() {
+                    LISTENER => self.accept(),
+                    id => {
+                        let done = catch_unwind(AssertUnwindSafe(|| self.hear(id)));
+                        if done.unwrap_or(true) {
+                            self.callers.remove(&id);
+                        }
+                    }
+                }
+            }
+            let now = Instant::now();
+            self.callers.retain(|_, caller| now.duration_since(caller.since) < BRING);
+        }
+    }
+
+    fn accept(&mut self) {
+        while let Ok((stream, _)) = self.listener.accept() {
+            if self.callers.len() >= CALLERS {
+                let oldest = self.callers.iter().min_by_key(|(_, c)| c.since).map(|(id, _)| *id);
+                oldest.map(|id| self.callers.remove(&id));
+            }
+            let id = self.next;
+            self.next += 1;
+            let added = stream.set_nonblocking(true).and_then(|()| {
+                epoll::add(&self.epoll, &stream, EventData::new_u64(id), EventFlags::IN).map_err(Into::into)
+            });
+            if added.is_ok() {
+                self.callers.insert(id, Caller { stream, came: Vec::new(), since: Instant::now() });
+            }
+        }
+    }
+
+    /// Reads what a caller brought; true once it is done with.
+    fn hear(&mut self, id: u64) -> bool {
+        let Some(caller) = self.callers.get_mut(&id) else { return false };
+        let mut buffer = [0; LONGEST];
+        let got = match caller.stream.read(&mut buffer) {
+            Ok(0) => return true,
+            Ok(got) => got,
+            Err(why) if matches!(why.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => return false,
+            Err(_) => return true,
+        };
+        let room = LONGEST.saturating_sub(caller.came.len());
+        caller.came.extend_from_slice(&buffer[..got.min(room + 1)]);
+        let Some(call) = management::read(&caller.came) else { return false };
+        let reply = match call {
+            Ok(call) => reply(call, &self.counters),
+            Err(bad) => bad.reply().to_owned(),
+        };
+        // Replies are short: the socket's buffer takes them whole, or the caller is not reading.
+        let _ = caller.stream.set_nonblocking(false);
+        let _ = caller.stream.set_write_timeout(Some(Duration::from_millis(200)));
+        let _ = caller.stream.write_all(reply.as_bytes());
+        true
+    }
+}
+
+/// What a call says, and does.
+pub fn reply(call: Call, counters: &Counters) -> String {
+    let mode = &counters.mode;
+    match call {
+        Call::Status if mode.is_ready() => "200 yes\n".into(),
+        Call::Status => format!("200 no: {:?}\n", mode.state()).to_lowercase(),
+        Call::Metrics => format!("200 figures\n{}\nEOF\n", counters.figures.render()),
+        Call::Pause if mode.pause() => {
+            eprintln!("management: paused; clients are sent away");
+            "200 paused\n".into()
+        }
+        Call::Pause => "400 nothing to pause: the process is starting or ending\n".into(),
+        Call::Resume if mode.resume() => {
+            eprintln!("management: resumed; clients are taken again");
+            "200 resumed\n".into()
+        }
+        Call::Resume => "400 nothing to resume: the process is starting or ending\n".into(),
+    }
+}
--- a/front/src/server/mod.rs
+++ b/front/src/server/mod.rs
@@ -5,6 +5,7 @@
 pub mod fastcgi;
 pub mod http;
 pub mod mailbox;
+pub mod management;
 pub mod sockets;
 
 use std::str::FromStr;
@@ -18,6 +19,7 @@
 use crate::exchange::{Class, Incoming, Input, Passed, Responder, Token};
 use crate::memory::budget::{Budget, Held};
 use crate::memory::counters::Counters;
+use crate::memory::figures::ClassTally;
 use crate::process::log::Log;
 
 /// A field as it came. One that came twice is none that can be used: which of the two is meant is not clear.
@@ -95,6 +97,8 @@
 /// Where the fronts hand their requests in.
 pub struct Intake {
     classes: Vec<Class>,
+    /// The counts of each class, in the order of `classes`.
+    tallies: Vec<Arc<ClassTally>>,
     next: AtomicU32,
     pub inputs: Sender<Input>,
     pub counters: Arc<Counters>,
@@ -110,7 +114,8 @@
         inputs: Sender<Input>,
         counters: Arc<Counters>,
     ) -> Intake {
-        Intake { classes, next: AtomicU32::new(1), inputs, counters, bodies, log: Log::default() }
+        let tallies = classes.iter().map(|c| counters.figures.tally(&c.name)).collect();
+        Intake { classes, tallies, next: AtomicU32::new(1), inputs, counters, bodies, log: Log::default() }
     }
 
     pub fn class(&self, name: &str) -> Option<&Class> {
@@ -127,7 +132,8 @@
         held: Held,
         came: Ms,
     ) -> Option<Ready> {
-        let class = self.class(class)?;
+        let place = self.classes.iter().position(|c| &*c.name == class)?;
+        let class = &self.classes[place];
         let item = fields.item.read(None, hex)?;
         let object = u64::from_str_radix(item.as_str(), 16).ok()?;
         let number = fields.part.read(Some(0), |v| digits(v).filter(|n| *n <= MOST_PARTS))?;
@@ -148,7 +154,8 @@
         };
         let job = fields.job.read(None, hex)?;
         let (class_name, once) = (class.name.clone(), class.once);
-        let passed = Passed { job, class_name, item, part, seen, body, once, _held: held };
+        let tally = self.tallies[place].clone();
+        let passed = Passed { job, class_name, item, part, seen, body, once, _held: held, tally };
         (allow > 0.0).then(|| Ready {
             class: class.id,
             object: ObjectId(object),
@@ -165,6 +172,7 @@
     pub fn hand_in(&self, ready: Ready, responder: Responder) -> RequestId {
         let id = RequestId(self.next.fetch_add(1, Relaxed));
         let Ready { class, object, part, group, size_kb, shop, deadline, passed } = ready;
+        let responder = responder.counted(self.counters.figures.taken(passed.tally.clone()));
         let incoming =
             Incoming { id, class, object, part, group, size_kb, shop, deadline, passed, responder };
         let _ = self.inputs.send(Input::Taken(incoming));
--- a/front/src/server/sockets.rs
+++ b/front/src/server/sockets.rs
@@ -17,6 +17,10 @@
 use crossbeam_channel::Receiver;
 use rustix::buffer::spare_capacity;
 use rustix::event::epoll::{self, EventData, EventFlags};
+use rustix::event::Timespec;
+
+use crate::lifecycle::listener::Origin;
+use crate::memory::mode::State;
 
 use crate::server::clients::{Admitted, Clients};
 use crate::server::fastcgi::{Broken, Conversation};
@@ -29,6 +33,8 @@
 const FIRST: u64 = 2;
 /// Taken in at one turn from one connection: others have theirs in between.
 const READ: usize = 64 * 1024;
+/// The longest wait for an event: idle connections are closed so soon after a pause.
+const TURN: Duration = Duration::from_millis(100);
 /// Connections accepted at one turn.
 const ACCEPT: usize = 32;
 /// A client with so much to take in brings nothing new.
@@ -131,6 +137,9 @@
 pub struct Sockets {
     epoll: OwnedFd,
     listener: TcpListener,
+    origin: Origin,
+    /// The listener is still in the epoll set.
+    accepting: bool,
     clients: Clients,
     intake: Arc<Intake>,
     connections: HashMap<u64, Connection>,
@@ -140,14 +149,30 @@
 }
 
 impl Sockets {
-    pub fn new(listener: TcpListener, clients: Clients, intake: Arc<Intake>) -> io::Result<Sockets> {
+    pub fn new(
+        listener: TcpListener,
+        origin: Origin,
+        clients: Clients,
+        intake: Arc<Intake>,
+    ) -> io::Result<Sockets> {
         let epoll = epoll::create(epoll::CreateFlags::CLOEXEC)?;
         let (mailbox, deliveries) = Mailbox::new()?;
         listener.set_nonblocking(true)?;
         epoll::add(&epoll, &listener, EventData::new_u64(LISTENER), EventFlags::IN)?;
         epoll::add(&epoll, mailbox.bell(), EventData::new_u64(WAKER), EventFlags::IN)?;
         let connections = HashMap::new();
-        Ok(Sockets { epoll, listener, clients, intake, connections, next: FIRST, mailbox, deliveries })
+        Ok(Sockets {
+            epoll,
+            listener,
+            origin,
+            accepting: true,
+            clients,
+            intake,
+            connections,
+            next: FIRST,
+            mailbox,
+            deliveries,
+        })
     }
 
     /// Serves for as long as the program runs.
@@ -157,9 +182,11 @@
         loop {
             events.clear();
             // It is interrupted each time the process is stopped and goes on.
-            if epoll::wait(&self.epoll, spare_capacity(&mut events), None).is_err() {
+            let turn = Timespec { tv_sec: 0, tv_nsec: i64::from(TURN.subsec_nanos()) };
+            if epoll::wait(&self.epoll, spare_capacity(&mut events), Some(&turn)).is_err() {
                 continue;
             }
+            self.send_away();
             for event in &events {
                 match event.data.u64() {
                     LISTENER => self.accept(),
@@ -176,6 +203,20 @@
         }
     }
 
+    /// Paused or ending, idle connections are closed; ending on a listener that the next process shares too, no
+    /// connection is taken any more: those that wait are the next process's.
+    fn send_away(&mut self) {
+        let mode = &self.intake.counters.mode;
+        if !mode.sends_away() {
+            return;
+        }
+        if self.accepting && self.origin == Origin::Inherited && mode.state() == State::Ending {
+            self.accepting = epoll::delete(&self.epoll, &self.listener).is_err();
+        }
+        let idle = |c: &Connection| c.conversation.is_done() && c.conversation.out.is_empty();
+        self.connections.retain(|_, connection| !idle(connection));
+    }
+
     /// Lets a connection do something. An end, and a panic, is its own and nobody else's.
     fn turn(&mut self, id: u64, act: impl FnOnce(&mut Connection) -> Result<(), End>) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
--- a/front/src/wire/mod.rs
+++ b/front/src/wire/mod.rs
@@ -4,3 +4,4 @@
 pub mod fastcgi;
 pub mod http;
 pub mod lines;
+pub mod management;
