Give figures as the METRICS reply, refuse broken reloads, keep connections owing answers

Lines at fault: lifecycle/config.rs took any number the settings reader took. Now a file is refused whose class has a deadline or OnTimeMs that is no positive number, whose TryLimit is not one, that has no class, or (at SIGHUP) lacks a key that the start file had.

Lines at fault: turn_away in server/fastcgi.rs. A connection now ends over them only with nothing open on it. Also a sent-away connection is closed as its last answer goes out, not when it is queued.

cache_nodes_known and cache_nodes_excluded come from the list (not ready, or two failed ends in a row).

--- a/front/src/engine/cells.rs
+++ b/front/src/engine/cells.rs
@@ -37,6 +37,12 @@
             self.0.retain(|_, (listing, ..)| listing.availability != Availability::Gone);
         }
     }
+
+    /// The members in the list now, each with whether it takes new work.
+    pub fn present(&self) -> impl Iterator<Item = (MemberId, bool)> + '_ {
+        let listed = self.0.iter().filter(|(_, (l, ..))| l.availability != Availability::Gone);
+        listed.map(|(member, (l, ..))| (*member, l.availability == Availability::Ready))
+    }
 }
 
 /// One router's part of the fleet: a cell, or the shard of it that some shops have.
--- a/front/src/engine/mod.rs
+++ b/front/src/engine/mod.rs
@@ -14,11 +14,13 @@
 
 use elmtide_cells::{Arrival, Decision, Ended, Layout, Why};
 
-use self::cells::{InCells, Listed};
+use self::cells::InCells;
+pub use self::cells::Listed;
 use crate::exchange::*;
 use crate::memory::announced::Announced;
 use crate::memory::counters::Counters;
 use crate::memory::exchanges::Exchanges;
+use crate::memory::failing::Failing;
 use crate::process::{clock, part};
 
 /// After this long past a deadline the engine answers by itself, whatever the module does.
@@ -71,6 +73,8 @@
     resolved: Option<(MembersNews, Event)>,
     /// Where the bus says that nodes drain, by whatever name they are listed besides.
     announced: Announced,
+    /// Members whose last attempts failed, for the figures.
+    failing: Failing,
     actions: Vec<Action>,
     counters: Arc<Counters>,
     wait_ms: Option<u64>,
@@ -100,6 +104,7 @@
             unreached: VecDeque::new(),
             resolved: None,
             announced: Announced::default(),
+            failing: Failing::default(),
             actions,
             counters,
             wait_ms,
@@ -146,6 +151,7 @@
                 Returned::Answered { outcome, note, copy } => self.on_end(key, outcome, note, copy),
             },
             Input::Probed { member, outcome, latency } => {
+                self.failing.heard(member, outcome);
                 self.tell_all(&Event::Probed { member, outcome, latency })
             }
             Input::Listed { from: ListSource::Bus, news, event } => {
@@ -188,6 +194,8 @@
     /// A list for whoever decides: the one router as it came, cells' routers each its own whole one.
     fn on_list(&mut self, news: &MembersNews, event: Event) {
         self.listed.learn(news, &event);
+        self.failing.keep(&self.listed);
+        self.show_members();
         self.tell(0, event);
         self.list_cells();
     }
@@ -272,6 +280,17 @@
         self.tell(router, Event::Request(request));
     }
 
+    /// The cache nodes in the list, and those avoided now: not ready, or failing since their last good answer.
+    fn show_members(&self) {
+        let (mut known, mut avoided) = (0, 0);
+        for (member, ready) in self.listed.present() {
+            known += 1;
+            avoided += u64::from(!ready || self.failing.is_failing(member));
+        }
+        self.counters.figures.cache_nodes_known.store(known, Relaxed);
+        self.counters.figures.cache_nodes_excluded.store(avoided, Relaxed);
+    }
+
     /// When to come back, told to one whom the engine refuses by itself.
     fn pause(&self, id: RequestId) -> Option<u64> {
         let spread = RETURN + (1.0 - RETURN) * part(self.seed, u64::from(id.0));
@@ -348,7 +367,7 @@
     /// An attempt has ended, whoever found it out.
     fn on_end(&mut self, key: AttemptKey, outcome: Outcome, note: elmtide::Note, copy: Option<Copy>) {
         let Some(exchange) = self.exchanges.get_mut(key.id) else { return };
-        let Some(sent) = exchange.end_attempt(key.attempt) else { return };
+        let Some((sent, to)) = exchange.end_attempt(key.attempt) else { return };
         let mut served = false;
         exchange.may_have_run |= !matches!(outcome, Outcome::ConnectFailed | Outcome::Moot);
         self.upstream.ended(key);
@@ -361,6 +380,7 @@
         }
         let router = exchange.router;
         self.counters.outcome(outcome);
+        self.failing.heard(to, outcome);
         let settled = exchange.is_answered();
         let (id, attempt) = (key.id, key.attempt);
         let latency = self.now - sent;
@@ -425,7 +445,7 @@
         match action {
             Action::Serve { id, cache, source, rank, max_age, mode, timeout } => {
                 let Some(exchange) = self.exchanges.get_mut(id) else { return };
-                let attempt = exchange.begin_attempt(self.now);
+                let attempt = exchange.begin_attempt(self.now, cache);
                 let key = AttemptKey { id, attempt };
                 let passed = exchange.passed.clone();
                 let timeout = timeout.min(exchange.deadline - self.now);
@@ -501,6 +521,7 @@
                     self.alarms.push(Reverse((micros(self.now + LOOK), Alarm::Look)));
                 }
                 Alarm::Sweep => {
+                    self.show_members();
                     self.upstream.sweep();
                     self.alarms.push(Reverse((micros(self.now + SWEEP), Alarm::Sweep)));
                     let open = self.exchanges.unanswered() as u64;
--- a/front/src/lifecycle/config.rs
+++ b/front/src/lifecycle/config.rs
@@ -28,6 +28,68 @@
     pub settings: Settings,
     pub pool: Limits,
     pub longest_deadline: Ms,
+    /// The keys that the file has, as a later file must have them too.
+    pub shape: Shape,
+}
+
+/// The keys of a configuration file, by where they are: a file at SIGHUP that lacks one of those of the start is
+/// incomplete. Classes may come and go, so of them the keys that every class of the file has are taken.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Shape(std::collections::BTreeSet<String>);
+
+/// The objects whose keys are held, by their path.
+const SHAPED: [&str; 5] = ["", "settings", "settings.Limits", "settings.FamilyInfo", "settings.Rules"];
+
+impl Shape {
+    fn of(root: &Value) -> Shape {
+        let mut keys = std::collections::BTreeSet::new();
+        for path in SHAPED {
+            let at = path.split('.').filter(|p| !p.is_empty()).fold(root, |at, key| &at[key]);
+            for key in at.as_object().into_iter().flat_map(|o| o.keys()) {
+                keys.insert(format!("{path}/{key}"));
+            }
+        }
+        let classes = root["settings"]["RequestClasses"].as_array().cloned().unwrap_or_default();
+        let class_keys =
+            |c: &Value| c.as_object().map(|o| o.keys().cloned().collect::<Vec<_>>()).unwrap_or_default();
+        if let Some(first) = classes.first() {
+            for key in class_keys(first) {
+                if classes.iter().all(|c| c.get(&key).is_some()) {
+                    keys.insert(format!("class/{key}"));
+                }
+            }
+        }
+        Shape(keys)
+    }
+
+    /// The first key of `start` that this one lacks.
+    pub fn lacks<'a>(&self, start: &'a Shape) -> Option<&'a str> {
+        start.0.iter().find(|key| !self.0.contains(*key)).map(String::as_str)
+    }
+}
+
+/// Deadlines and attempts are positive numbers, and there is a class.
+fn sane(told: &Value) -> Result<(), String> {
+    let classes =
+        told["RequestClasses"].as_array().ok_or("settings: RequestClasses is missing or no list")?;
+    if classes.is_empty() {
+        return Err("settings: RequestClasses is empty".into());
+    }
+    let positive = |at: &Value, key: &str, what: &str| match at.get(key) {
+        Some(v) if v.as_f64().is_some_and(|n| n > 0.0 && n.is_finite()) => Ok(()),
+        Some(v) => Err(format!("settings: {what} {key} is {v}, which is no positive number")),
+        None => Err(format!("settings: {what} has no {key}")),
+    };
+    for class in classes {
+        let name = class["Name"].as_str().filter(|n| !n.is_empty());
+        let name = name.ok_or("settings: a class has no name")?;
+        positive(class, "HardLimitMs", &format!("class {name}:"))?;
+        positive(class, "OnTimeMs", &format!("class {name}:"))?;
+    }
+    if told["Limits"].get("TryLimit").is_some() {
+        positive(&told["Limits"], "TryLimit", "Limits:")?;
+    }
+    Ok(())
 }
 
 fn names(settings: &Value, key: &str) -> Vec<String> {
@@ -51,6 +113,7 @@
     pub fn parse(text: &[u8], listen: Option<&str>) -> Result<Config, String> {
         let root: Value = serde_json::from_slice(text).map_err(|e| format!("no JSON: {e}"))?;
         let told = &root["settings"];
+        sane(told)?;
         let settings = elmtide_settings::read(told)?;
         let listen = match listen {
             Some(text) => text.parse().map_err(|_| format!("LB_LISTEN is {text:?}, which is no address"))?,
@@ -103,6 +166,64 @@
             longest_deadline: settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max),
             settings,
             pool,
+            shape: Shape::of(&root),
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"{"name":"n1","listen":"127.0.0.1:1","seed":"01","bus":"127.0.0.1:2",
+        "known":{"offset":0,"batch":[]},"settings":{"Az":0,"Zones":["z"],"Kinds":["k"],"Limits":{"TryLimit":3},
+        "RequestClasses":[{"Name":"a","OnTimeMs":100,"HardLimitMs":900,"Repeat":"free"}]}}"#;
+
+    fn with(from: &str, to: &str) -> String {
+        assert!(GOOD.contains(from), "{from}");
+        GOOD.replace(from, to)
+    }
+
+    #[test]
+    fn a_good_file_is_read_and_covers_its_own_keys() {
+        let config = Config::parse(GOOD.as_bytes(), None).unwrap();
+        assert_eq!(config.shape.lacks(&config.shape), None);
+    }
+
+    #[test]
+    fn each_kind_of_broken_file_is_refused_with_its_reason() {
+        let broken = [
+            (String::new(), "no JSON"),
+            (GOOD[..GOOD.len() / 2].to_owned(), "no JSON"),
+            (with(r#""HardLimitMs":900"#, r#""HardLimitMs":0"#), "HardLimitMs is 0"),
+            (with(r#""HardLimitMs":900"#, r#""HardLimitMs":-5"#), "HardLimitMs is -5"),
+            (with(r#""HardLimitMs":900"#, r#""HardLimitMs":"900""#), "no positive number"),
+            (with(r#","HardLimitMs":900"#, ""), "has no HardLimitMs"),
+            (with(r#""TryLimit":3"#, r#""TryLimit":0"#), "TryLimit is 0"),
+            (with(r#""TryLimit":3"#, r#""TryLimit":null"#), "TryLimit is null"),
+            (
+                with(r#"{"Name":"a","OnTimeMs":100,"HardLimitMs":900,"Repeat":"free"}"#, ""),
+                "RequestClasses is empty",
+            ),
+        ];
+        for (text, why) in broken {
+            let read = Config::parse(text.as_bytes(), None);
+            let said = read.err().unwrap_or_default();
+            assert!(said.contains(why), "{text:?}: {said:?}, not {why:?}");
+        }
+    }
+
+    #[test]
+    fn a_file_without_a_key_of_the_start_is_incomplete_but_classes_may_change() {
+        let start = Config::parse(GOOD.as_bytes(), None).unwrap().shape;
+        let fewer = Config::parse(with(r#""Limits":{"TryLimit":3},"#, "").as_bytes(), None).unwrap();
+        let lacks = fewer.shape.lacks(&start).unwrap_or_default();
+        assert!(lacks.contains("Limits"), "{lacks:?}");
+        let other = with(r#""Name":"a""#, r#""Name":"b""#).replace(
+            r#""Repeat":"free"}]"#,
+            r#""Repeat":"free"},{"Name":"c","OnTimeMs":50,"HardLimitMs":300,"Repeat":"free"}]"#,
+        );
+        let classes = Config::parse(other.as_bytes(), None).unwrap();
+        assert_eq!(classes.shape.lacks(&start), None);
+    }
+}
--- a/front/src/lifecycle/reload.rs
+++ b/front/src/lifecycle/reload.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use crate::client::bus::Whereabouts;
-use crate::lifecycle::config::Config;
+use crate::lifecycle::config::{Config, Shape};
 use crate::memory::counters::Counters;
 
 /// What a running front can take over from its file, and what it can't.
@@ -16,6 +16,8 @@
     pub listen: SocketAddr,
     pub bus: Arc<Whereabouts>,
     pub counters: Arc<Counters>,
+    /// The keys of the file at the start.
+    pub shape: Shape,
 }
 
 impl<R: Fn() -> Result<Config, String>> Reload<R> {
@@ -37,6 +39,9 @@
     /// Requests go on undisturbed; the event bus is read on from the last number at its new address.
     fn take_over(&self) -> Result<String, String> {
         let config = (self.read)()?;
+        if let Some(key) = config.shape.lacks(&self.shape) {
+            return Err(format!("the file is incomplete: it has no {key}"));
+        }
         if config.name != self.name {
             return Err(format!("the file is for {}, this is {}", config.name, self.name));
         }
--- a/front/src/lifecycle/serve.rs
+++ b/front/src/lifecycle/serve.rs
@@ -64,7 +64,7 @@
     let (listener, origin) = listener::clients(handed.as_deref(), config.listen)?;
     if let Some(at) = config.management {
         let management = Management::bind(at, counters.clone())?;
-        eprintln!("management: calls are taken at {at}");
+        eprintln!("management: calls are taken at {}", management.local_addr().unwrap_or(at));
         management.start()?;
     }
 
@@ -89,6 +89,7 @@
         listen: config.listen,
         bus: bus.clone(),
         counters: counters.clone(),
+        shape: config.shape.clone(),
     };
     spawn("bus", move || feed.follow(&bus)).map_err(|e| format!("bus thread: {e}"))?;
 
--- a/front/src/memory/exchanges.rs
+++ b/front/src/memory/exchanges.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
-use elmtide::{Ms, RequestId, Try};
+use elmtide::{MemberId, Ms, RequestId, Try};
 
 use crate::exchange::{Answer, Incoming, Passed, Responder, Token};
 
@@ -17,6 +17,8 @@
     pub(crate) responder: Option<Responder>,
     /// For each attempt when it was sent, while it is out.
     pub(crate) attempts: Vec<Option<Ms>>,
+    /// For each attempt the cache node that it went to.
+    targets: Vec<MemberId>,
     /// One of those that have ended was written whole.
     pub may_have_run: bool,
     /// The router that decides on it.
@@ -31,6 +33,7 @@
             passed,
             responder: Some(responder),
             attempts: Vec::new(),
+            targets: Vec::new(),
             may_have_run: false,
             router: 0,
         }
@@ -51,8 +54,9 @@
         self.responder.is_none()
     }
 
-    pub fn begin_attempt(&mut self, now: Ms) -> Try {
+    pub fn begin_attempt(&mut self, now: Ms, to: MemberId) -> Try {
         self.attempts.push(Some(now));
+        self.targets.push(to);
         Try((self.attempts.len() - 1) as u8)
     }
 
@@ -66,9 +70,11 @@
         out.map(|(place, _)| Try(place as u8))
     }
 
-    /// When the attempt was sent, if it was out: each has one end.
-    pub fn end_attempt(&mut self, attempt: Try) -> Option<Ms> {
-        self.attempts.get_mut(usize::from(attempt.0)).and_then(Option::take)
+    /// When the attempt was sent and to whom, if it was out: each has one end.
+    pub fn end_attempt(&mut self, attempt: Try) -> Option<(Ms, MemberId)> {
+        let place = usize::from(attempt.0);
+        let sent = self.attempts.get_mut(place).and_then(Option::take)?;
+        Some((sent, self.targets[place]))
     }
 }
 
--- a/front/src/memory/figures.rs
+++ b/front/src/memory/figures.rs
@@ -79,7 +79,8 @@
         all.insert("served".into(), by_class(|t| &t.served));
         all.insert("refused".into(), by_class(|t| &t.refused));
         all.insert("failed".into(), by_class(|t| &t.failed));
-        all.insert("attempts".into(), by_class(|t| &t.attempts));
+        let attempts: u64 = classes.iter().map(|(_, t)| t.attempts.load(Relaxed)).sum();
+        all.insert("attempts".into(), Value::from(attempts));
         let single = [
             ("in_flight", &self.in_flight),
             ("cache_nodes_known", &self.cache_nodes_known),
@@ -144,7 +145,9 @@
         assert_eq!(shown["in_flight"], 0);
         // The same name is the same counts, as after a reload.
         figures.tally("A").attempts.fetch_add(3, Relaxed);
-        assert_eq!(a.attempts.load(Relaxed), 3);
+        b.attempts.fetch_add(1, Relaxed);
+        let shown: Value = serde_json::from_str(&figures.render()).unwrap();
+        assert_eq!(shown["attempts"], 4, "attempts are one figure for all classes");
     }
 
     #[test]
--- a/front/src/memory/mod.rs
+++ b/front/src/memory/mod.rs
@@ -4,6 +4,7 @@
 pub mod budget;
 pub mod counters;
 pub mod exchanges;
+pub mod failing;
 pub mod figures;
 pub mod ledger;
 pub mod members;
--- a/front/src/server/fastcgi.rs
+++ b/front/src/server/fastcgi.rs
@@ -155,12 +155,15 @@
         }
         if let Some(open) = self.open.remove(&delivery.slot) {
             let bytes = answer(delivery);
-            // A client sent away takes its last answer, and then the connection ends.
-            let away = self.intake.counters.mode.sends_away() && self.is_idle();
-            self.out.push_back(Chunk { bytes, last: !open.keep || away, _owed: Some(open.owed) });
+            self.out.push_back(Chunk { bytes, last: !open.keep, _owed: Some(open.owed) });
         }
     }
 
+    /// The process sends clients away: paused or ending.
+    pub fn sends_away(&self) -> bool {
+        self.intake.counters.mode.sends_away()
+    }
+
     /// Nothing is open, coming in or begun on this connection.
     pub fn is_idle(&self) -> bool {
         self.open.is_empty() && self.half.is_empty() && self.input.is_empty()
@@ -277,7 +280,8 @@
             fastcgi::end_request(out, id, 0, ProtocolStatus::RequestComplete);
         });
         self.unusable += 1;
-        if self.unusable >= UNUSABLE {
+        // Requests that are open on the connection are owed their answers: it ends only once they are given.
+        if self.unusable >= UNUSABLE && self.open.is_empty() {
             return Err(Broken::Unusable);
         }
         Ok(())
--- a/front/src/server/management.rs
+++ b/front/src/server/management.rs
@@ -52,6 +52,10 @@
         Ok(Management { epoll, listener, counters, callers: HashMap::new(), next: LISTENER + 1 })
     }
 
+    pub fn local_addr(&self) -> Option<SocketAddr> {
+        self.listener.local_addr().ok()
+    }
+
     /// Serves on a thread of its own for as long as the program runs.
     pub fn start(self) -> Result<(), String> {
         spawn("management", move || self.run()).map(drop).map_err(|e| format!("management thread: {e}"))
@@ -125,18 +129,19 @@
 pub fn reply(call: Call, counters: &Counters) -> String {
     let mode = &counters.mode;
     match call {
-        Call::Status if mode.is_ready() => "200 yes\n".into(),
-        Call::Status => format!("200 no: {:?}\n", mode.state()).to_lowercase(),
-        Call::Metrics => format!("200 figures\n{}\nEOF\n", counters.figures.render()),
+        Call::Status if mode.is_ready() => "200 yes\r\n".into(),
+        Call::Status => format!("200 no: {:?}\r\n", mode.state()).to_lowercase(),
+        // The figures are the reply: one JSON line, then the line that ends them.
+        Call::Metrics => format!("{}\r\nEOF\r\n", counters.figures.render()),
         Call::Pause if mode.pause() => {
             eprintln!("management: paused; clients are sent away");
-            "200 paused\n".into()
+            "200 paused\r\n".into()
         }
-        Call::Pause => "400 nothing to pause: the process is starting or ending\n".into(),
+        Call::Pause => "400 nothing to pause: the process is starting or ending\r\n".into(),
         Call::Resume if mode.resume() => {
             eprintln!("management: resumed; clients are taken again");
-            "200 resumed\n".into()
+            "200 resumed\r\n".into()
         }
-        Call::Resume => "400 nothing to resume: the process is starting or ending\n".into(),
+        Call::Resume => "400 nothing to resume: the process is starting or ending\r\n".into(),
     }
 }
--- a/front/src/server/sockets.rs
+++ b/front/src/server/sockets.rs
@@ -115,7 +115,11 @@
                 client.took();
                 self.conversation.out.pop_front();
                 self.written = 0;
-                if last {
+                // A client sent away has had its last answer once nothing else is open or owed: decided as the
+                // answer goes out, not when it was queued, since more may have come meanwhile.
+                let away =
+                    self.sent_away() && self.conversation.is_done() && self.conversation.out.is_empty();
+                if last || away {
                     return Err(End::Usual);
                 }
             }
@@ -123,6 +127,10 @@
         Ok(())
     }
 
+    fn sent_away(&self) -> bool {
+        self.conversation.sends_away()
+    }
+
     /// What the connection waits for now, if that has changed.
     fn interest(&mut self) -> Option<EventFlags> {
         let waiting = self.conversation.out.len();
--- a/front/src/wire/management.rs
+++ b/front/src/wire/management.rs
@@ -22,9 +22,9 @@
 impl Bad {
     pub fn reply(self) -> &'static str {
         match self {
-            Bad::TooLong => "400 the line is too long\n",
-            Bad::NotText => "400 the line is not text\n",
-            Bad::Unknown => "400 no such call: STATUS, METRICS, PAUSE or RESUME\n",
+            Bad::TooLong => "400 the line is too long\r\n",
+            Bad::NotText => "400 the line is not text\r\n",
+            Bad::Unknown => "400 no such call: STATUS, METRICS, PAUSE or RESUME\r\n",
         }
     }
 }
--- a/front/tests/common/mod.rs
+++ b/front/tests/common/mod.rs
@@ -93,6 +93,11 @@
     }
 
     pub fn start_with(caches: &[&str], edge: Option<&str>, sockets: u32) -> Program {
+        Program::start_env(caches, edge, sockets, &[])
+    }
+
+    /// With variables of the environment set as well.
+    pub fn start_env(caches: &[&str], edge: Option<&str>, sockets: u32, env: &[(&str, &str)]) -> Program {
         let folder = folder();
         let names = caches.iter().copied().chain(["o-1", "bus", "bus2"]);
         let listeners: BTreeMap<String, TcpListener> =
@@ -121,6 +126,9 @@
             .args(["serve", "--config", "config.json", "--edge", "edge.toml", "--control", "control.sock"])
             .current_dir(&folder)
             .env_remove("LB_LISTEN")
+            .env_remove("LB_MANAGEMENT")
+            .env_remove("LB_FD")
+            .envs(env.iter().copied())
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
--- /dev/null
+++ b/front/tests/management.rs
@@ -0,0 +1,107 @@
+//! The management address against the running program: calls, silent callers, lines that are no call, pause.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use common::{last_word, Program};
+
+/// The spec's bound on a reply; a reply that does not come within it fails the read.
+const REPLY: Duration = Duration::from_secs(1);
+
+fn start() -> (Program, SocketAddr) {
+    let program = Program::start_env(&["s-1"], None, 1024, &[("LB_MANAGEMENT", "127.0.0.1:0")]);
+    let at = last_word(&program.log.wait("management: calls are taken at ", 0)).parse().unwrap();
+    (program, at)
+}
+
+fn call(at: SocketAddr, line: &[u8]) -> String {
+    let mut stream = TcpStream::connect(at).unwrap();
+    stream.set_read_timeout(Some(REPLY)).unwrap();
+    // A line far too long is cut off: the write may fail once the reply and the close have come.
+    let written = stream.write_all(line);
+    assert!(written.is_ok() || line.len() > 4096, "{written:?}");
+    let mut reply = Vec::new();
+    let read = stream.read_to_end(&mut reply);
+    let reset = read.as_ref().is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionReset);
+    if reset && line.len() > 4096 {
+        return "400 cut off\n".into();
+    }
+    assert!(
+        read.is_ok(),
+        "no whole reply to {:?} within {REPLY:?}: {read:?}",
+        line.escape_ascii().to_string()
+    );
+    String::from_utf8(reply).unwrap()
+}
+
+/// The platform's readiness question over FastCGI: the status line of `/-/healthy`.
+fn healthy(listen: SocketAddr) -> String {
+    let mut stream = TcpStream::connect(listen).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    let name = b"SCRIPT_NAME/-/healthy";
+    let mut bytes = vec![1, 1, 0, 1, 0, 8, 0, 0, 0, 1, 0, 0, 0, 0, 0, 0];
+    bytes.extend_from_slice(&[1, 4, 0, 1, 0, (name.len() + 2) as u8, 0, 0, 11, 10]);
+    bytes.extend_from_slice(name);
+    bytes.extend_from_slice(&[1, 4, 0, 1, 0, 0, 0, 0, 1, 5, 0, 1, 0, 0, 0, 0]);
+    stream.write_all(&bytes).unwrap();
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    let text = String::from_utf8_lossy(&answer).into_owned();
+    let status = text.split("Status: ").nth(1).expect("an answer with a status");
+    status[..3].to_owned()
+}
+
+#[test]
+fn status_is_answered_at_once_beside_two_hundred_silent_callers() {
+    let (_program, at) = start();
+    let silent: Vec<TcpStream> = (0..200).map(|_| TcpStream::connect(at).unwrap()).collect();
+    let mut half = TcpStream::connect(at).unwrap();
+    half.write_all(b"STAT").unwrap();
+    assert_eq!(call(at, b"STATUS\n"), "200 yes\r\n");
+    drop(silent);
+}
+
+#[test]
+fn lines_that_are_no_call_get_400_and_never_a_hang() {
+    let (_program, at) = start();
+    for line in [&b"status\n"[..], b"\0\n", b"\xff\xfe\n", b"PAUSE NOW\n", &vec![b'M'; 1 << 20]] {
+        let reply = call(at, line);
+        assert!(reply.starts_with("400 "), "{reply:?} to {:?}", line[..line.len().min(12)].escape_ascii());
+    }
+    assert_eq!(call(at, b"STATUS\r\n"), "200 yes\r\n");
+}
+
+#[test]
+fn metrics_are_one_json_object_then_eof_from_naught() {
+    let (_program, at) = start();
+    let reply = call(at, b"METRICS\n");
+    let lines: Vec<&str> = reply.lines().collect();
+    assert_eq!(lines.len(), 2, "{reply}");
+    assert_eq!(lines.last(), Some(&"EOF"));
+    let figures: serde_json::Value = serde_json::from_str(lines[0]).unwrap();
+    for class in ["small-files", "plan-signup"] {
+        for count in ["served", "refused", "failed"] {
+            assert_eq!(figures[count][class], 0, "{count} {class}: {reply}");
+        }
+    }
+    for count in ["attempts", "in_flight", "reloads_ok", "reloads_failed", "cache_nodes_excluded"] {
+        assert_eq!(figures[count], 0, "{count}: {reply}");
+    }
+    // The cache node, and the origin with it or not.
+    assert!([1, 2].contains(&figures["cache_nodes_known"].as_u64().unwrap()), "{reply}");
+}
+
+#[test]
+fn pause_turns_readiness_to_no_and_resume_back() {
+    let (program, at) = start();
+    assert_eq!(healthy(program.listen), "200");
+    assert_eq!(call(at, b"PAUSE\n"), "200 paused\r\n");
+    assert_eq!(call(at, b"STATUS\n"), "200 no: paused\r\n");
+    assert_eq!(healthy(program.listen), "503");
+    assert_eq!(call(at, b"RESUME\n"), "200 resumed\r\n");
+    assert_eq!(call(at, b"STATUS\n"), "200 yes\r\n");
+    assert_eq!(healthy(program.listen), "200");
+}
