--- a/front/src/engine/cells.rs
+++ b/front/src/engine/cells.rs
@@ -38,6 +38,12 @@
         }
     }
 
+    /// The listings of the members in the list now.
+    pub fn present_listings(&self) -> Vec<Listing> {
+        let listed = self.0.values().filter(|(l, ..)| l.availability != Availability::Gone);
+        listed.map(|(l, ..)| *l).collect()
+    }
+
     /// The members in the list now, each with whether it takes new work.
     pub fn present(&self) -> impl Iterator<Item = (MemberId, bool)> + '_ {
         let listed = self.0.iter().filter(|(_, (l, ..))| l.availability != Availability::Gone);
--- a/front/src/engine/mod.rs
+++ b/front/src/engine/mod.rs
@@ -80,8 +80,16 @@
     wait_ms: Option<u64>,
     draining_since: Option<Ms>,
     now: Ms,
+    /// The router that new requests go to while there are no cells.
+    current: usize,
+    /// The name of each class of `settings`: ids are never taken back, so that open requests keep their rules.
+    class_names: Vec<std::sync::Arc<str>>,
 }
 
+/// Classes that the engine knows at most, over all reloads; routers at most.
+const CLASSES: usize = 1024;
+const ROUTERS: usize = 16;
+
 impl<U: Upstream> Engine<U> {
     pub fn new(settings: Settings, seed: u64, upstream: U, counters: Arc<Counters>) -> Engine<U> {
         let now = clock::unix_ms();
@@ -110,7 +118,60 @@
             wait_ms,
             draining_since: None,
             now,
+            current: 0,
+            class_names: Vec::new(),
+        }
+    }
+
+    /// The names of the classes of the settings, in their order.
+    pub fn naming(mut self, names: Vec<std::sync::Arc<str>>) -> Engine<U> {
+        self.class_names = names;
+        self
+    }
+
+    /// New settings: a router of their own takes new requests, the one before keeps what it has open.
+    fn retune(&mut self, retune: Retune) -> Result<Vec<Class>, String> {
+        if self.cells.is_some() {
+            return Err("classes are taken over at the next start while cells are in force".into());
+        }
+        let Retune { settings: new, classes, .. } = retune;
+        let (mut merged, mut names) = (self.settings.classes.clone(), self.class_names.clone());
+        let mut table = Vec::new();
+        for class in classes {
+            let rules = new.classes.get(usize::from(class.id.0)).ok_or("a class without its settings")?;
+            let same = names.iter().zip(&merged).position(|(n, c)| *n == class.name && c == rules);
+            let id = match same {
+                Some(id) => id,
+                None if merged.len() < CLASSES => {
+                    merged.push(rules.clone());
+                    names.push(class.name.clone());
+                    merged.len() - 1
+                }
+                None => return Err(format!("more than {CLASSES} classes since the start")),
+            };
+            table.push(Class { id: elmtide::ClassId(id as u16), ..class });
+        }
+        let busy: std::collections::HashSet<usize> = self.exchanges.routers().collect();
+        let free = (0..self.routers.len()).find(|r| *r != self.current && !busy.contains(r));
+        let place = match free {
+            Some(place) => place,
+            None if self.routers.len() < ROUTERS => self.routers.len(),
+            None => return Err("too many routers still have requests open".into()),
+        };
+        let settings = Settings { classes: merged, ..new };
+        let mut actions = Vec::new();
+        let router = Router::new(settings.clone(), self.seed, self.now, &mut actions);
+        match place == self.routers.len() {
+            true => self.routers.push(router),
+            false => self.routers[place] = router,
+        }
+        (self.settings, self.class_names, self.current) = (settings, names, place);
+        for action in actions {
+            self.act(place, action);
         }
+        let entries = self.listed.present_listings();
+        self.tell(place, cells::whole(entries));
+        Ok(table)
     }
 
     /// Runs until it is told to stop.
@@ -136,6 +197,11 @@
         self.tick();
         match input {
             Input::Taken(incoming) => self.on_taken(incoming),
+            Input::Retune(mut retune) => {
+                let done = std::mem::replace(&mut retune.done, Box::new(|_| {}));
+                let taken = self.retune(*retune);
+                done(taken);
+            }
             Input::Abandoned(id) => {
                 if let Some(exchange) = self.exchanges.get_mut(id) {
                     if exchange.abandon() {
@@ -196,7 +262,11 @@
         self.listed.learn(news, &event);
         self.failing.keep(&self.listed);
         self.show_members();
-        self.tell(0, event);
+        // Without cells every router is told: those from before a reload still decide on what they hold.
+        match self.cells {
+            None => self.tell_all(&event),
+            Some(_) => self.tell(0, event),
+        }
         self.list_cells();
     }
 
@@ -352,7 +422,13 @@
         self.alarms.push(Reverse((micros(deadline + BACKSTOP), Alarm::Deadline(request.id.0))));
         self.alarms.push(Reverse((micros(self.now + left * UNSENT), Alarm::Unsent(request.id.0))));
         let (now, id) = (self.now, request.id);
-        let Some(cells) = &mut self.cells else { return self.tell(0, Event::Request(request)) };
+        let Some(cells) = &mut self.cells else {
+            let current = self.current;
+            if let Some(exchange) = self.exchanges.get_mut(id) {
+                exchange.router = current;
+            }
+            return self.tell(current, Event::Request(request));
+        };
         let object = request.object.0;
         let decision = cells.cells.arrive(Arrival { id: id.0, shop, object, once, cost: 1.0, deadline }, now);
         cells.waiting.insert(id, (request, shop));
@@ -671,4 +747,46 @@
         assert!(waits.iter().all(|w| (300..=500).contains(w)), "{waits:?}");
         assert!(waits.iter().any(|w| *w != waits[0]), "{waits:?}");
     }
+    /// A reload keeps the ids of classes whose rules stay, gives new ids to new or changed ones, and sends new
+    /// requests to a router of its own while the one before keeps its open requests.
+    #[test]
+    fn a_reload_keeps_the_ids_of_unchanged_classes_and_routes_new_requests_anew() {
+        let rules = |deadline| ClassSettings { aim: 100.0, deadline, ..ClassSettings::default() };
+        let settings = Settings { classes: vec![rules(400.0)], max_attempts: Some(4), ..Settings::default() };
+        let engine = Engine::new(settings, 1, Silent(true), Arc::default());
+        let mut engine = engine.naming(vec!["a".into()]);
+        let class = |name: &str, id| Class {
+            name: name.into(),
+            id: ClassId(id),
+            write: false,
+            once: false,
+            deadline: 0.0,
+        };
+        let retune = |engine: &mut Engine<Silent>, classes: Vec<Class>, deadlines: &[f64]| {
+            let (to, taken) = bounded(1);
+            let settings = Settings {
+                classes: deadlines.iter().map(|d| rules(*d)).collect(),
+                max_attempts: Some(2),
+                ..Settings::default()
+            };
+            let done = Box::new(move |t| to.send(t).unwrap());
+            engine.take(Input::Retune(Box::new(Retune { settings, classes, done })));
+            let table: Vec<(String, u16)> =
+                taken.recv().unwrap().unwrap().iter().map(|c| (c.name.to_string(), c.id.0)).collect();
+            table
+        };
+        let first = engine.current;
+        let table = retune(&mut engine, vec![class("a", 0), class("b", 1)], &[400.0, 900.0]);
+        assert_eq!(table, [("a".to_string(), 0), ("b".to_string(), 1)]);
+        assert_ne!(engine.current, first, "new requests go to a router of the new settings");
+        assert_eq!(engine.settings.max_attempts, Some(2));
+        let table = retune(&mut engine, vec![class("a", 0)], &[700.0]);
+        assert_eq!(table, [("a".to_string(), 2)], "a class whose rules changed is a new one");
+        assert_eq!(
+            engine.settings.classes.len(),
+            3,
+            "ids are never taken back: open requests keep their rules"
+        );
+        assert!(engine.routers.len() <= ROUTERS);
+    }
 }
--- a/front/src/exchange.rs
+++ b/front/src/exchange.rs
@@ -254,10 +254,27 @@
     Resolver,
 }
 
+/// Settings that a reload brings.
+pub struct Retune {
+    pub settings: elmtide::Settings,
+    /// The file's classes, with their places in its settings as ids.
+    pub classes: Vec<Class>,
+    /// Takes the classes with the engine's ids, once a router decides by them.
+    pub done: Box<dyn FnOnce(Result<Vec<Class>, String>) + Send>,
+}
+
+impl fmt::Debug for Retune {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Retune({} classes)", self.classes.len())
+    }
+}
+
 /// What comes in at the engine.
 #[derive(Debug)]
 pub enum Input {
     Taken(Incoming),
+    /// New settings at SIGHUP: the classes of the file, and who takes the table of names and ids.
+    Retune(Box<Retune>),
     /// The client has stopped waiting.
     Abandoned(RequestId),
     Returned {
--- a/front/src/lifecycle/reload.rs
+++ b/front/src/lifecycle/reload.rs
@@ -5,9 +5,13 @@
 use std::sync::atomic::Ordering::Relaxed;
 use std::sync::Arc;
 
+use crossbeam_channel::Sender;
+
 use crate::client::bus::Whereabouts;
+use crate::exchange::{Class, Input, Retune};
 use crate::lifecycle::config::{Config, Shape};
 use crate::memory::counters::Counters;
+use crate::server::Intake;
 
 /// What a running front can take over from its file, and what it can't.
 pub struct Reload<R> {
@@ -18,6 +22,9 @@
     pub counters: Arc<Counters>,
     /// The keys of the file at the start.
     pub shape: Shape,
+    /// Where the engine is told the new settings, and who takes the new classes.
+    pub inputs: Sender<Input>,
+    pub intake: Arc<Intake>,
 }
 
 impl<R: Fn() -> Result<Config, String>> Reload<R> {
@@ -48,6 +55,19 @@
         if config.listen != self.listen {
             eprintln!("reload: listen is {} from the next start on", config.listen);
         }
+        let intake = self.intake.clone();
+        let done = move |taken: Result<Vec<Class>, String>| match taken {
+            Ok(classes) => {
+                let names: Vec<&str> = classes.iter().map(|c| &*c.name).collect();
+                eprintln!("reload: {} classes are in force: {}", names.len(), names.join(", "));
+                intake.retune(classes);
+            }
+            Err(why) => eprintln!("reload: the classes stay as they were: {why}"),
+        };
+        let retune = Retune { settings: config.settings, classes: config.classes, done: Box::new(done) };
+        if self.inputs.send(Input::Retune(Box::new(retune))).is_err() {
+            return Err("the engine has stopped".into());
+        }
         Ok(match self.bus.move_to(config.bus) {
             true => format!("the bus is at {}", config.bus),
             false => format!("the bus stays at {}", config.bus),
--- a/front/src/lifecycle/serve.rs
+++ b/front/src/lifecycle/serve.rs
@@ -79,10 +79,16 @@
         seed: config.seed,
     };
     let pool = Pool::new(config.pool, inputs.clone(), counters.clone());
-    let engine = Engine::new(config.settings, config.seed, pool, counters.clone());
+    let names = config.classes.iter().map(|c| c.name.clone()).collect();
+    let engine = Engine::new(config.settings.clone(), config.seed, pool, counters.clone()).naming(names);
     let stopped = start_engine(engine, events)?;
     feed.apply(Ok((config.known, Vec::new())))?;
     let bus = Arc::new(Whereabouts::new(config.bus));
+    let followed = bus.clone();
+    spawn("bus", move || feed.follow(&followed)).map_err(|e| format!("bus thread: {e}"))?;
+
+    let bodies = Budget::new(config.memory / BODIES);
+    let intake = Arc::new(Intake::new(config.classes.clone(), bodies, inputs.clone(), counters.clone()));
     let reload = Reload {
         read,
         name: config.name.clone(),
@@ -90,11 +96,10 @@
         bus: bus.clone(),
         counters: counters.clone(),
         shape: config.shape.clone(),
+        inputs: inputs.clone(),
+        intake: intake.clone(),
     };
-    spawn("bus", move || feed.follow(&bus)).map_err(|e| format!("bus thread: {e}"))?;
 
-    let bodies = Budget::new(config.memory / BODIES);
-    let intake = Arc::new(Intake::new(config.classes, bodies, inputs.clone(), counters.clone()));
     // The usual clients hold a third of the descriptors at most, connections to cache nodes another.
     let clients = Clients::new(config.sockets / 2);
     clients.watch().map_err(|e| format!("watch thread: {e}"))?;
--- a/front/src/memory/exchanges.rs
+++ b/front/src/memory/exchanges.rs
@@ -125,6 +125,11 @@
         }
     }
 
+    /// The routers that decide on what is held.
+    pub fn routers(&self) -> impl Iterator<Item = usize> + '_ {
+        self.open.values().map(|e| e.router)
+    }
+
     pub fn unanswered(&self) -> usize {
         self.open.values().filter(|e| !e.is_answered()).count()
     }
--- a/front/src/server/http.rs
+++ b/front/src/server/http.rs
@@ -268,13 +268,13 @@
         }
         let conditional = head.header("if-none-match").is_some();
         if class.write {
-            return self.write_once(head, class, fields, body, held, came);
+            return self.write_once(head, &class, fields, body, held, came);
         }
         let state = self.site.in_force.now();
         if state.drained(came) {
             return Some(self.sent_away(&state));
         }
-        let Some(ready) = self.ready(class, &fields, body, held, came) else {
+        let Some(ready) = self.ready(&class, &fields, body, held, came) else {
             return Some(Response::text(400, "X-Item, X-Slice or X-Allow-Ms can't be used"));
         };
         let deadline = ready.deadline;
--- a/front/src/server/mod.rs
+++ b/front/src/server/mod.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::sync::Arc;
 
+use arc_swap::ArcSwap;
 use crossbeam_channel::Sender;
 use elmtide::{ClassId, Ms, ObjectId, PurgeGroup, RequestId};
 use elmtide_cells::ShopId;
@@ -94,11 +95,24 @@
 /// The last answer is given so many milliseconds before the client's time ends: it has to get there.
 const ANSWER_BEFORE: Ms = 20.0;
 
+/// The classes that requests may name, each with its counts.
+#[derive(Debug)]
+pub struct Classes(Vec<(Class, Arc<ClassTally>)>);
+
+impl Classes {
+    fn new(classes: Vec<Class>, counters: &Counters) -> Classes {
+        Classes(classes.into_iter().map(|c| (c.clone(), counters.figures.tally(&c.name))).collect())
+    }
+
+    fn find(&self, name: &str) -> Option<&(Class, Arc<ClassTally>)> {
+        self.0.iter().find(|(c, _)| &*c.name == name)
+    }
+}
+
 /// Where the fronts hand their requests in.
 pub struct Intake {
-    classes: Vec<Class>,
-    /// The counts of each class, in the order of `classes`.
-    tallies: Vec<Arc<ClassTally>>,
+    /// The classes that requests may name now, swapped whole at SIGHUP.
+    classes: ArcSwap<Classes>,
     next: AtomicU32,
     pub inputs: Sender<Input>,
     pub counters: Arc<Counters>,
@@ -114,12 +128,17 @@
         inputs: Sender<Input>,
         counters: Arc<Counters>,
     ) -> Intake {
-        let tallies = classes.iter().map(|c| counters.figures.tally(&c.name)).collect();
-        Intake { classes, tallies, next: AtomicU32::new(1), inputs, counters, bodies, log: Log::default() }
+        let classes = ArcSwap::from_pointee(Classes::new(classes, &counters));
+        Intake { classes, next: AtomicU32::new(1), inputs, counters, bodies, log: Log::default() }
+    }
+
+    pub fn class(&self, name: &str) -> Option<Class> {
+        self.classes.load().find(name).map(|(class, _)| class.clone())
     }
 
-    pub fn class(&self, name: &str) -> Option<&Class> {
-        self.classes.iter().find(|c| &*c.name == name)
+    /// Requests name these classes from now on; those open keep theirs.
+    pub fn retune(&self, classes: Vec<Class>) {
+        self.classes.store(Arc::new(Classes::new(classes, &self.counters)));
     }
 
     /// Makes a request of what came whole at this moment; `None` for fields that can't be used: those must never
@@ -132,8 +151,8 @@
         held: Held,
         came: Ms,
     ) -> Option<Ready> {
-        let place = self.classes.iter().position(|c| &*c.name == class)?;
-        let class = &self.classes[place];
+        let classes = self.classes.load();
+        let (class, tally) = classes.find(class)?;
         let item = fields.item.read(None, hex)?;
         let object = u64::from_str_radix(item.as_str(), 16).ok()?;
         let number = fields.part.read(Some(0), |v| digits(v).filter(|n| *n <= MOST_PARTS))?;
@@ -154,7 +173,7 @@
         };
         let job = fields.job.read(None, hex)?;
         let (class_name, once) = (class.name.clone(), class.once);
-        let tally = self.tallies[place].clone();
+        let tally = tally.clone();
         let passed = Passed { job, class_name, item, part, seen, body, once, _held: held, tally };
         (allow > 0.0).then(|| Ready {
             class: class.id,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -65,7 +65,7 @@
     Live,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ClassSettings {
     pub aim: Ms,
     pub aim_stretch: Option<f64>,
