Tell a router built at SIGHUP the purges that came before it

A router built at a reload never heard of purges before it (Input::Purged in engine/mod.rs went to the routers there were).

--- a/front/src/engine/mod.rs
+++ b/front/src/engine/mod.rs
@@ -82,10 +82,14 @@
     now: Ms,
     /// The router that new requests go to while there are no cells.
     current: usize,
+    /// The last purges, for a router that is built after them.
+    purges: VecDeque<(Option<elmtide::ObjectId>, elmtide::PurgeGroup, Ms)>,
     /// The name of each class of `settings`: ids are never taken back, so that open requests keep their rules.
     class_names: Vec<std::sync::Arc<str>>,
 }
 
+/// Purges that a router built after them is told at most.
+const PURGES: usize = 4096;
 /// Classes that the engine knows at most, over all reloads; routers at most.
 const CLASSES: usize = 1024;
 const ROUTERS: usize = 16;
@@ -119,6 +123,7 @@
             draining_since: None,
             now,
             current: 0,
+            purges: VecDeque::new(),
             class_names: Vec::new(),
         }
     }
@@ -171,6 +176,12 @@
         }
         let entries = self.listed.present_listings();
         self.tell(place, cells::whole(entries));
+        // A copy from before a purge must not be served by the new router either.
+        let purges: Vec<_> = self.purges.iter().copied().collect();
+        for (object, group, at) in purges {
+            let ago = (self.now - at).max(0.0);
+            self.tell(place, Event::Purged { object, group, ago });
+        }
         Ok(table)
     }
 
@@ -234,6 +245,10 @@
                 self.on_resolved(news, event);
             }
             Input::Purged { object, group, at } => {
+                if self.purges.len() >= PURGES {
+                    self.purges.pop_front();
+                }
+                self.purges.push_back((object, group, at));
                 let ago = (self.now - at).max(0.0);
                 self.tell_all(&Event::Purged { object, group, ago });
             }
