Check reloaded settings in the settings crate; test that a new router knows old purges

Seen in review: the strict check of a file at SIGHUP (classes, positive deadlines and TryLimit) sat in the front's config.rs beside a lenient reader in settings/, one concern in two rooms. It is elmtide_settings::check now, moved unchanged; the config tests of each broken file pass as before.

New engine test: a purge, then a reload, then a request for the purged object and one for another; the first must go out with an age cap. Checked that it can fail: with the replay taken out it fails (no cap), with it it passes.

--- a/front/src/engine/mod.rs
+++ b/front/src/engine/mod.rs
@@ -804,4 +804,87 @@
         );
         assert!(engine.routers.len() <= ROUTERS);
     }
+    /// What the engine sent on: the age cap of each order.
+    struct Recording(Arc<Mutex<Vec<Option<Ms>>>>);
+
+    impl Upstream for Recording {
+        fn send(&mut self, order: &Order) -> Result<(), Progress> {
+            self.0.lock().unwrap().push(order.max_age);
+            Ok(())
+        }
+        fn ended(&mut self, _: AttemptKey) {}
+        fn give_up(&mut self, _: AttemptKey) -> Option<Progress> {
+            None
+        }
+        fn may_have_run(&self, _: AttemptKey) -> bool {
+            true
+        }
+        fn probe(&mut self, _: MemberId) -> bool {
+            true
+        }
+        fn learn(&mut self, _: &MembersNews) {}
+        fn look(&mut self) {}
+        fn sweep(&mut self) {}
+    }
+
+    /// A router built at a reload is told the purges before it: it asks for no copy older than the purge.
+    #[test]
+    fn a_router_built_at_a_reload_knows_the_purges_before_it() {
+        let class = ClassSettings { aim: 100.0, deadline: 2000.0, ..ClassSettings::default() };
+        let origin = Some(elmtide::KindId(2));
+        let settings = Settings { classes: vec![class], origin_kind: origin, ..Settings::default() };
+        let sent = Arc::new(Mutex::new(Vec::new()));
+        let engine = Engine::new(settings.clone(), 1, Recording(sent.clone()), Arc::default());
+        let mut engine = engine.naming(vec!["a".into()]);
+        let (member, weight, zone, kind) = (MemberId(1), 1.0, Default::default(), Default::default());
+        let (cell, born, availability) = (Default::default(), None, Availability::Ready);
+        let listing = Listing { member, weight, zone, kind, cell, born, availability };
+        let source = Listing { member: MemberId(2), kind: elmtide::KindId(2), ..listing };
+        let event = Event::List { news: ListNews::Full, entries: vec![listing, source] };
+        let named = |member, name: &str| MemberNews {
+            member,
+            name: name.into(),
+            addr: None,
+            born: None,
+            gone: false,
+        };
+        let members = vec![named(MemberId(1), "s-1"), named(MemberId(2), "o-1")];
+        let news = MembersNews { full: true, members };
+        engine.take(Input::Listed { from: ListSource::Bus, news, event });
+        let now = clock::unix_ms();
+        engine.take(Input::Purged { object: Some(ObjectId(7)), group: PurgeGroup(0), at: now });
+        let a = Class { name: "a".into(), id: ClassId(0), write: false, once: false, deadline: 2000.0 };
+        let done = Box::new(|taken: Result<Vec<Class>, String>| assert!(taken.is_ok()));
+        engine.take(Input::Retune(Box::new(Retune { settings, classes: vec![a], done })));
+        let word = |text: &str| crate::exchange::Token::new(text.as_bytes()).unwrap();
+        for (id, object) in [(1, 7), (2, 8)] {
+            let incoming = Incoming {
+                id: RequestId(id),
+                class: ClassId(0),
+                object: ObjectId(object),
+                part: 0,
+                group: PurgeGroup(1),
+                size_kb: None,
+                shop: elmtide_cells::ShopId::of(""),
+                deadline: clock::unix_ms() + 2000.0,
+                passed: Arc::new(Passed {
+                    job: word(&format!("{id:016x}")),
+                    class_name: "a".into(),
+                    item: word("7f3a9c21e0b4d655"),
+                    part: word("0"),
+                    seen: None,
+                    body: Vec::new(),
+                    once: false,
+                    _held: Budget::new(0).held(),
+                    tally: Arc::default(),
+                }),
+                responder: Responder::new(|_| {}),
+            };
+            engine.take(Input::Taken(incoming));
+        }
+        let sent = sent.lock().unwrap().clone();
+        assert_eq!(sent.len(), 2, "{sent:?}");
+        assert!(sent[0].is_some(), "the purged object is asked for with an age cap: {sent:?}");
+        assert_eq!(sent[1], None, "another object is not: {sent:?}");
+    }
 }
--- a/front/src/lifecycle/config.rs
+++ b/front/src/lifecycle/config.rs
@@ -68,30 +68,6 @@
     }
 }
 
-/// Deadlines and attempts are positive numbers, and there is a class.
-fn sane(told: &Value) -> Result<(), String> {
-    let classes =
-        told["RequestClasses"].as_array().ok_or("settings: RequestClasses is missing or no list")?;
-    if classes.is_empty() {
-        return Err("settings: RequestClasses is empty".into());
-    }
-    let positive = |at: &Value, key: &str, what: &str| match at.get(key) {
-        Some(v) if v.as_f64().is_some_and(|n| n > 0.0 && n.is_finite()) => Ok(()),
-        Some(v) => Err(format!("settings: {what} {key} is {v}, which is no positive number")),
-        None => Err(format!("settings: {what} has no {key}")),
-    };
-    for class in classes {
-        let name = class["Name"].as_str().filter(|n| !n.is_empty());
-        let name = name.ok_or("settings: a class has no name")?;
-        positive(class, "HardLimitMs", &format!("class {name}:"))?;
-        positive(class, "OnTimeMs", &format!("class {name}:"))?;
-    }
-    if told["Limits"].get("TryLimit").is_some() {
-        positive(&told["Limits"], "TryLimit", "Limits:")?;
-    }
-    Ok(())
-}
-
 fn names(settings: &Value, key: &str) -> Vec<String> {
     let list = settings[key].as_array();
     list.into_iter().flatten().map(|v| v.as_str().unwrap_or("").to_owned()).collect()
@@ -113,7 +89,7 @@
     pub fn parse(text: &[u8], listen: Option<&str>) -> Result<Config, String> {
         let root: Value = serde_json::from_slice(text).map_err(|e| format!("no JSON: {e}"))?;
         let told = &root["settings"];
-        sane(told)?;
+        elmtide_settings::check(told)?;
         let settings = elmtide_settings::read(told)?;
         let listen = match listen {
             Some(text) => text.parse().map_err(|_| format!("LB_LISTEN is {text:?}, which is no address"))?,
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -37,6 +37,30 @@
     read(&root)
 }
 
+/// Deadlines and attempts are positive numbers, and there is a class: what `read` lets pass, a reload must not.
+pub fn check(told: &Value) -> Result<(), String> {
+    let classes =
+        told["RequestClasses"].as_array().ok_or("settings: RequestClasses is missing or no list")?;
+    if classes.is_empty() {
+        return Err("settings: RequestClasses is empty".into());
+    }
+    let positive = |at: &Value, key: &str, what: &str| match at.get(key) {
+        Some(v) if v.as_f64().is_some_and(|n| n > 0.0 && n.is_finite()) => Ok(()),
+        Some(v) => Err(format!("settings: {what} {key} is {v}, which is no positive number")),
+        None => Err(format!("settings: {what} has no {key}")),
+    };
+    for class in classes {
+        let name = class["Name"].as_str().filter(|n| !n.is_empty());
+        let name = name.ok_or("settings: a class has no name")?;
+        positive(class, "HardLimitMs", &format!("class {name}:"))?;
+        positive(class, "OnTimeMs", &format!("class {name}:"))?;
+    }
+    if told["Limits"].get("TryLimit").is_some() {
+        positive(&told["Limits"], "TryLimit", "Limits:")?;
+    }
+    Ok(())
+}
+
 pub fn read(root: &Value) -> Result<Settings, String> {
     let nothing = Value::Null;
     let part = |key: &str| root.get(key).unwrap_or(&nothing);
