Decide a connection's requests as values, and take back in time what is not written

Causes, all in front/src/client/connection.rs and engine/mod.rs as they were: - still_unsent looked whether an attempt was written, then refused, then gave it up: written in between, it ran although its client was told that nothing had run, and the client's retry ran it again. Now it is taken back first. - What was over (its client gone, refused, past its deadline) was called off only where the settings allow calling off; elsewhere an attempt that waited for its connection was still written. Now whatever is over is taken back unwritten. - give_up removed an unwritten attempt, but its bytes stayed in the writer's queue: the next attempt of the same request on that connection admitted both frames. A frame now belongs to one opening and no other. - A node's second SHED, some ms late, was taken for the answer to the next attempt of the same id on that connection, which was running: the request went out a third time. What must not be repeated does not use a tag on a connection twice. - A repeat by key could wait up to 0.7 s for its connection and be written after the window for repeats had ended. It now says by when it must be written. - A node or source told as draining: what waited for it was still written, up to 0.7 s later. Ruled out by reading: the idle close against a request (one lock), late connects (bounded), second answers to ended requests.

--- a/front/src/client/connection.rs
+++ b/front/src/client/connection.rs
@@ -1,6 +1,5 @@
-//! One connection to a cache node: a thread that writes and one that reads, and the table of what is open.
+//! One connection to a cache node: a thread that writes and one that reads, around what `streams` decides.
 
-use std::collections::HashMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -11,9 +10,9 @@
 use crossbeam_channel::{bounded, Receiver, Sender};
 use elmtide::{MemberId, Note, Outcome};
 
+use crate::client::streams::{Admitted, Look, Opening, Purpose, Streams, Turn};
 use crate::exchange::{AttemptKey, Copy, Input, Progress, Returned, Token};
 use crate::memory::counters::Counters;
-use crate::memory::figures::ClassTally;
 use crate::process::spawn;
 use crate::wire::lines::{Answer, Word, LONGEST_LINE};
 
@@ -23,73 +22,21 @@
 const QUEUE: usize = 512;
 /// A peer that takes in nothing for so long is given up; what it was being sent is not whole.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
-/// An answer to what was given up may still cross; its id is kept free of others for so long.
-const FORGET_GIVEN_UP: Duration = Duration::from_secs(10);
-/// A connection that owes an answer is looked at in turns, `Limits::look` apart. Turns are counted and not time:
-/// a process that was stopped for a while finds many seconds gone and the answers not read yet.
-/// After so many without a byte it is asked whether it is still there, at least (`Peer::patience`) and at most,
-pub const QUIET: (u32, u32) = (4, 16);
-/// after so many without an answer to that it is of no use any more,
-const MUTE: u32 = 4;
-/// nor is it after so many in the middle of an answer.
-const STALLED: u32 = 8;
-
-/// What has waited so long for a peer that takes in nothing is not sent any more: it was decided before purges
-/// and drains that may have been told since, and these bind what is sent from 1 s and 2 s on.
-const STALE: Duration = Duration::from_millis(700);
-
-/// What an answer on this connection belongs to.
-#[derive(Clone, Copy, Debug)]
-enum Purpose {
-    Attempt(AttemptKey),
-    Probe(MemberId),
-    /// Whether the connection is still of use.
-    Ping,
-    GivenUp,
-}
-
-#[derive(Debug)]
-struct Slot {
-    purpose: Purpose,
-    /// Where an attempt that is written whole is counted.
-    tally: Option<Arc<ClassTally>>,
-    progress: Progress,
-    since: Instant,
-    alone: bool,
-}
-
-/// How much else may be open on a connection that takes something.
-#[derive(Clone, Copy, Debug)]
-pub struct Room {
-    /// So many at most, with this one.
-    pub streams: usize,
-    /// Nothing else: what breaks the connection over another's answer would take this with it, and it must not
-    /// be sent again.
-    pub alone: bool,
-}
-
+/// Bytes for the writer: those of an opening, or what is said of one that is written already.
 #[derive(Debug)]
-struct Table {
-    slots: HashMap<Token, Slot>,
-    closed: bool,
-    /// Takes nothing new; closed once nothing is open.
-    retired: bool,
-    last_used: Instant,
-    /// Reads at the last look, looks since then, and how many until it is asked.
-    seen: u64,
-    quiet: u32,
-    patience: u32,
-    asked: bool,
+struct Frame {
+    tag: Token,
+    turn: Option<Turn>,
+    bytes: Vec<u8>,
 }
 
 /// The part of a connection that the pool and both threads share.
 #[derive(Debug)]
 pub struct Connection {
-    table: Mutex<Table>,
-    frames: Sender<(Token, Vec<u8>)>,
+    streams: Mutex<Streams>,
+    frames: Sender<Frame>,
     /// How often bytes have come.
     reads: AtomicU64,
-    patience: u32,
     stream: Mutex<Option<Arc<TcpStream>>>,
 }
 
@@ -103,19 +50,9 @@
 impl Connection {
     pub fn open(peer: Peer, inputs: Sender<Input>, counters: Arc<Counters>) -> io::Result<Arc<Connection>> {
         let (frames, queue) = bounded(QUEUE);
-        let table = Table {
-            slots: HashMap::new(),
-            closed: false,
-            retired: false,
-            last_used: Instant::now(),
-            seen: 0,
-            quiet: 0,
-            patience: peer.patience,
-            asked: false,
-        };
-        let (table, reads) = (Mutex::new(table), AtomicU64::new(0));
-        let connection =
-            Arc::new(Connection { table, frames, reads, patience: peer.patience, stream: Mutex::new(None) });
+        let streams = Mutex::new(Streams::new(peer.patience, Instant::now()));
+        let reads = AtomicU64::new(0);
+        let connection = Arc::new(Connection { streams, frames, reads, stream: Mutex::new(None) });
         let own = connection.clone();
         spawn("node-writer", move || {
             // A panic stops at the connection: what is open on it still ends.
@@ -128,110 +65,82 @@
         Ok(connection)
     }
 
-    fn table(&self) -> MutexGuard<'_, Table> {
-        self.table.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    fn streams(&self) -> MutexGuard<'_, Streams> {
+        self.streams.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
     /// Queues a request; false if this connection can't take it now.
-    pub fn try_send(
-        &self,
-        tag: &Token,
-        purpose: Result<AttemptKey, MemberId>,
-        frame: Vec<u8>,
-        room: Room,
-        tally: Option<&Arc<ClassTally>>,
-    ) -> bool {
-        let mut table = self.table();
-        let now = Instant::now();
-        let own = |s: &&Slot| matches!(s.purpose, Purpose::Attempt(_) | Purpose::Probe(_));
-        let open = table.slots.values().filter(own).count();
-        let taken = if room.alone { open > 0 } else { table.slots.values().any(|s| s.alone) };
-        if table.closed || table.retired || taken || open >= room.streams || table.slots.contains_key(tag) {
+    pub fn try_send(&self, opening: &Opening<'_>, bytes: Vec<u8>) -> bool {
+        let mut streams = self.streams();
+        if !streams.accepts(opening) {
             return false;
         }
-        if self.frames.try_send((tag.clone(), frame)).is_err() {
+        let frame = Frame { tag: opening.tag.clone(), turn: Some(streams.next_turn()), bytes };
+        if self.frames.try_send(frame).is_err() {
             return false;
         }
-        let purpose = purpose.map_or_else(Purpose::Probe, Purpose::Attempt);
-        let (progress, alone) = (Progress::NotConnected, room.alone);
-        let tally = tally.cloned();
-        table.slots.insert(tag.clone(), Slot { purpose, tally, progress, since: now, alone });
-        table.last_used = now;
+        streams.open(opening, Instant::now());
         true
     }
 
     /// Gives an attempt up; tells how far it had come, `None` if it is not open here.
     pub fn give_up(&self, tag: &Token, key: AttemptKey, never_mind: Vec<u8>) -> Option<Progress> {
-        let mut table = self.table();
-        let slot = table.slots.get_mut(tag)?;
-        if !matches!(slot.purpose, Purpose::Attempt(open) if open == key) {
-            return None;
-        }
-        let progress = slot.progress;
-        if progress == Progress::NotConnected {
-            table.slots.remove(tag);
-            return Some(progress);
+        let progress = self.streams().give_up(tag, key, Instant::now())?;
+        if progress != Progress::NotConnected {
+            let _ = self.frames.try_send(Frame { tag: tag.clone(), turn: None, bytes: never_mind });
         }
-        (slot.purpose, slot.since, slot.alone) = (Purpose::GivenUp, Instant::now(), false);
-        let _ = self.frames.try_send((tag.clone(), never_mind));
         Some(progress)
     }
 
+    /// Takes an attempt back if nothing of it has been written, nor will be.
+    pub fn withdraw(&self, tag: &Token, key: AttemptKey) -> bool {
+        self.streams().withdraw(tag, key)
+    }
+
+    /// Takes back what has not been written and such a member would serve or fill.
+    pub fn withdraw_from(&self, lost: &dyn Fn(MemberId) -> bool) -> Vec<AttemptKey> {
+        self.streams().withdraw_from(lost)
+    }
+
     pub fn may_have_run(&self, tag: &Token, key: AttemptKey) -> bool {
-        let table = self.table();
-        let slot = table.slots.get(tag).filter(|s| matches!(s.purpose, Purpose::Attempt(k) if k == key));
-        // One that is not here any more has ended: how far it came is on its way to the engine.
-        slot.is_none_or(|s| s.progress.may_have_run())
+        self.streams().may_have_run(tag, key)
     }
 
     /// Takes nothing new from now on.
     pub fn retire(&self) {
-        self.table().retired = true;
+        self.streams().retire();
+    }
+
+    pub fn is_closed(&self) -> bool {
+        self.streams().is_closed()
     }
 
-    /// Ends the connection if it owes answers and is of no further use: a machine that has vanished, and an answer
-    /// that never comes, leave it open and silent for good. Whatever is out on it has run as far as is known.
+    /// Ends the connection if it is of no further use. Whatever is out on it has run as far as is known.
     pub fn look(&self, ping: &Token, asking: Option<Vec<u8>>) {
-        let mut table = self.table();
-        let reads = self.reads.load(Relaxed);
-        let out = |s: &Slot| matches!(s.purpose, Purpose::Attempt(_)) && s.progress.may_have_run();
-        let owes = table.slots.values().any(out);
-        if table.closed || !owes || table.seen != reads {
-            table.patience = if !owes { self.patience } else { table.patience };
-            (table.seen, table.quiet) = (reads, 0);
-            if std::mem::take(&mut table.asked) {
-                table.patience = (table.patience * 2).min(QUIET.1);
+        let mut streams = self.streams();
+        match streams.look(self.reads.load(Relaxed), asking.is_some()) {
+            Look::Leave => {}
+            Look::Ask => {
+                streams.asks(ping, Instant::now());
+                let bytes = asking.unwrap_or_default();
+                let _ = self.frames.try_send(Frame { tag: ping.clone(), turn: None, bytes });
+            }
+            Look::Shut => {
+                drop(streams);
+                self.shut();
             }
-            return;
-        }
-        table.quiet += 1;
-        let cut = table.slots.values().any(|s| s.progress == Progress::PartOfAnswer);
-        let useless = table.quiet >= if cut { STALLED } else { MUTE };
-        if (cut || table.asked) && useless {
-            table.closed = true;
-            drop(table);
-            self.shut();
-        } else if let Some(frame) = asking.filter(|_| !cut && !table.asked && table.quiet >= table.patience) {
-            let (purpose, progress, since) = (Purpose::Ping, Progress::Whole, Instant::now());
-            table.slots.insert(ping.clone(), Slot { purpose, tally: None, progress, since, alone: false });
-            let _ = self.frames.try_send((ping.clone(), frame));
-            (table.asked, table.quiet) = (true, 0);
         }
     }
 
     /// Closes it if it has been idle for so long, or if it is retired and idle; true if it is closed.
     pub fn sweep(&self, idle: Duration) -> bool {
-        let mut table = self.table();
-        let given_up = |s: &Slot| matches!(s.purpose, Purpose::GivenUp | Purpose::Ping);
-        table.slots.retain(|_, s| !given_up(s) || s.since.elapsed() < FORGET_GIVEN_UP);
-        let open = table.slots.values().any(|s| !given_up(s));
-        if !table.closed && !open && (table.retired || table.last_used.elapsed() > idle) {
-            table.closed = true;
-            drop(table);
+        let mut streams = self.streams();
+        if streams.sweep(idle, Instant::now()) {
+            drop(streams);
             self.shut();
             return true;
         }
-        table.closed
+        streams.is_closed()
     }
 
     fn shut(&self) {
@@ -240,25 +149,21 @@
         }
         // Wakes a writer that waits for frames; one whose queue is full is awake.
         if let Some(wake) = Token::new(b"-") {
-            let _ = self.frames.try_send((wake, Vec::new()));
+            let _ = self.frames.try_send(Frame { tag: wake, turn: None, bytes: Vec::new() });
         }
     }
 
     /// Ends the connection and all that is open on it.
     fn close(&self, inputs: &Sender<Input>) {
-        let slots = {
-            let mut table = self.table();
-            table.closed = true;
-            std::mem::take(&mut table.slots)
-        };
+        let open: Vec<_> = self.streams().close().collect();
         self.shut();
-        slots.into_values().for_each(|slot| end(slot.purpose, slot.progress, inputs));
+        open.into_iter().for_each(|(purpose, progress)| end(purpose, progress, inputs));
     }
 
     fn write(
         self: &Arc<Self>,
         peer: &Peer,
-        queue: &Receiver<(Token, Vec<u8>)>,
+        queue: &Receiver<Frame>,
         inputs: &Sender<Input>,
         counters: &Counters,
     ) {
@@ -279,14 +184,19 @@
         if started.is_err() {
             return;
         }
-        while let Ok((tag, frame)) = queue.recv() {
-            let tally = match self.admit(&tag, inputs) {
+        while let Ok(Frame { tag, turn, bytes }) = queue.recv() {
+            let admitted = self.streams().admit(&tag, turn, Instant::now());
+            let tally = match admitted {
                 Admitted::Closed => return,
                 Admitted::Skipped => continue,
+                Admitted::Overdue(purpose) => {
+                    end(purpose, Progress::NotConnected, inputs);
+                    continue;
+                }
                 Admitted::Yes(tally) => tally,
             };
-            if write_counted(&stream, &frame) < frame.len() {
-                self.table().slots.entry(tag).and_modify(|s| s.progress = Progress::PartlyWritten);
+            if write_counted(&stream, &bytes) < bytes.len() {
+                self.streams().fell_short(&tag);
                 return;
             }
             if let Some(tally) = tally {
@@ -295,33 +205,18 @@
         }
     }
 
-    /// Whether a frame is to be written. It counts as whole from before its write: the node may act on its last
-    /// byte, and break the connection, before this thread runs again. Only a write that falls short proves less.
-    fn admit(&self, tag: &Token, inputs: &Sender<Input>) -> Admitted {
-        let mut table = self.table();
-        if table.closed {
-            return Admitted::Closed;
-        }
-        let Some(slot) = table.slots.get_mut(tag) else { return Admitted::Skipped };
-        if slot.progress != Progress::NotConnected {
-            return Admitted::Yes(None);
-        }
-        if slot.since.elapsed() > STALE {
-            let (purpose, progress) = (slot.purpose, slot.progress);
-            table.slots.remove(tag);
-            drop(table);
-            end(purpose, progress, inputs);
-            return Admitted::Skipped;
-        }
-        slot.progress = Progress::Whole;
-        Admitted::Yes(slot.tally.take())
-    }
-
     fn read(&self, stream: &TcpStream, inputs: &Sender<Input>) {
         let mut reader = BufReader::with_capacity(16 * 1024, Counted(stream, &self.reads));
         let mut line = Vec::new();
         loop {
             line.clear();
+            match reader.fill_buf() {
+                Ok([]) => return,
+                Ok(begun) if !begun.contains(&b'\n') => self.streams().line_begins(),
+                Ok(_) => {}
+                Err(why) if why.kind() == io::ErrorKind::Interrupted => continue,
+                Err(_) => return,
+            }
             let got = (&mut reader).take(LONGEST_LINE as u64).read_until(b'\n', &mut line);
             if !matches!(got, Ok(n) if n > 0) || line.last() != Some(&b'\n') {
                 return;
@@ -331,10 +226,7 @@
                 return;
             };
             let Some(tag) = Token::new(answer.id.as_bytes()) else { return };
-            // From here on the answer is cut if it is not whole.
-            if let Some(slot) = self.table().slots.get_mut(&tag) {
-                slot.progress = Progress::PartOfAnswer;
-            }
+            self.streams().answer_begins(&tag);
             // Memory is taken as the bytes come, and not for what a length only says.
             let mut bytes = Vec::with_capacity(answer.length.min(FIRST_BYTES));
             let mut end = [0; 2];
@@ -343,12 +235,8 @@
             if !whole || end != *b"\r\n" {
                 return;
             }
-            let slot = {
-                let mut table = self.table();
-                table.last_used = Instant::now();
-                table.slots.remove(&tag)
-            };
-            let Some(slot) = slot else { continue };
+            let answered = self.streams().answer_ends(&tag, Instant::now());
+            let Some(slot) = answered else { continue };
             let input = match slot.purpose {
                 Purpose::GivenUp | Purpose::Ping => continue,
                 Purpose::Probe(member) => {
@@ -375,13 +263,6 @@
     }
 }
 
-enum Admitted {
-    /// With the counts to add the attempt to, once it is written whole.
-    Yes(Option<Arc<ClassTally>>),
-    Skipped,
-    Closed,
-}
-
 /// How many bytes went out before the connection failed, or all.
 fn write_counted(mut stream: &TcpStream, bytes: &[u8]) -> usize {
     let mut written = 0;
--- a/front/src/client/mod.rs
+++ b/front/src/client/mod.rs
@@ -4,3 +4,4 @@
 pub mod connection;
 pub mod pool;
 pub mod resolver;
+pub mod streams;
--- a/front/src/client/pool.rs
+++ b/front/src/client/pool.rs
@@ -3,16 +3,17 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crossbeam_channel::Sender;
 use elmtide::{MemberId, Ms};
 
-use crate::client::connection::{Connection, Peer, Room, QUIET};
+use crate::client::connection::{Connection, Peer};
+use crate::client::streams::{Opening, Purpose, Room, QUIET};
 use crate::exchange::*;
 use crate::memory::counters::Counters;
-use crate::memory::figures::ClassTally;
 use crate::memory::members::Members;
+use crate::process::clock;
 use crate::wire::lines::{never_mind, there, Want};
 
 #[derive(Clone, Copy, Debug)]
@@ -75,34 +76,44 @@
         Token::new(format!("p{:015x}", self.probes).as_bytes())
     }
 
-    /// Puts a frame on a connection to this member, an open one or a new one.
-    fn dispatch(
-        &mut self,
-        member: MemberId,
-        tag: &Token,
-        purpose: Result<AttemptKey, MemberId>,
-        frame: Vec<u8>,
-        alone: bool,
-        tally: Option<&Arc<ClassTally>>,
-    ) -> Option<Arc<Connection>> {
+    /// Puts a request on a connection to this member, an open one or a new one.
+    fn dispatch(&mut self, member: MemberId, opening: &Opening<'_>, frame: &[u8]) -> Option<Arc<Connection>> {
         let addr = self.members.get(member).and_then(|m| m.addr)?;
-        let streams = self.limits.streams_per_connection;
         let open = self.connections.entry(member).or_default();
-        let few = Room { streams: streams.min(SHARE), alone };
-        if let Some(found) = open.iter().find(|c| c.try_send(tag, purpose, frame.clone(), few, tally)) {
+        if let Some(found) = open.iter().find(|c| c.try_send(opening, frame.to_vec())) {
             return Some(found.clone());
         }
-        if self.connections.values().map(Vec::len).sum::<usize>() >= self.limits.connections {
+        if self.is_full() {
+            // Those that have ended are no use, and are counted only until the next sweep.
+            self.drop_closed();
+        }
+        if self.is_full() {
+            let room = Room { streams: self.limits.streams_per_connection, alone: false };
+            let many = Opening { room, ..opening.clone() };
             let open = self.connections.get(&member)?;
-            let many = Room { streams, alone: false };
-            return open.iter().find(|c| c.try_send(tag, purpose, frame.clone(), many, tally)).cloned();
+            return open.iter().find(|c| c.try_send(&many, frame.to_vec())).cloned();
         }
         let Limits { connect_timeout, patience, .. } = self.limits;
         let peer = Peer { addr, connect_timeout, patience };
         let connection = Connection::open(peer, self.inputs.clone(), self.counters.clone()).ok()?;
-        connection.try_send(tag, purpose, frame, few, tally);
+        let sent = connection.try_send(opening, frame.to_vec());
         self.connections.entry(member).or_default().push(connection.clone());
-        Some(connection)
+        sent.then_some(connection)
+    }
+
+    fn is_full(&self) -> bool {
+        self.connections.values().map(Vec::len).sum::<usize>() >= self.limits.connections
+    }
+
+    fn drop_closed(&mut self) {
+        self.connections.retain(|_, open| {
+            open.retain(|c| !c.is_closed());
+            !open.is_empty()
+        });
+    }
+
+    fn room(&self, alone: bool) -> Room {
+        Room { streams: self.limits.streams_per_connection.min(SHARE), alone }
     }
 }
 
@@ -126,9 +137,17 @@
             got: passed.seen.as_ref().map(Token::as_str),
             body: &passed.body,
         };
-        let frame = want.encode();
-        let connection =
-            self.dispatch(order.cache, &passed.job, Ok(order.key), frame, passed.once, Some(&passed.tally));
+        let left = |by: Ms| Duration::from_secs_f64(((by - clock::unix_ms()) / 1000.0).clamp(0.0, 3600.0));
+        let opening = Opening {
+            tag: &passed.job,
+            purpose: Purpose::Attempt(order.key),
+            room: self.room(passed.once),
+            tally: Some(&passed.tally),
+            write_by: order.write_by.map(|by| Instant::now() + left(by)),
+            guarded: order.guarded,
+            members: [Some(order.cache), order.source],
+        };
+        let connection = self.dispatch(order.cache, &opening, &want.encode());
         let connection = connection.ok_or(Progress::NotConnected)?;
         self.out.insert(order.key, (connection, passed.job.clone()));
         Ok(())
@@ -143,15 +162,37 @@
         connection.give_up(&tag, key, never_mind(tag.as_str()))
     }
 
+    fn withdraw(&mut self, key: AttemptKey) -> bool {
+        let back = self.out.get(&key).is_some_and(|(connection, tag)| connection.withdraw(tag, key));
+        if back {
+            self.out.remove(&key);
+        }
+        back
+    }
+
+    fn withdraw_from(&mut self, lost: &dyn Fn(MemberId) -> bool) -> Vec<AttemptKey> {
+        let back: Vec<AttemptKey> =
+            self.connections.values().flatten().flat_map(|c| c.withdraw_from(lost)).collect();
+        back.iter().for_each(|key| drop(self.out.remove(key)));
+        back
+    }
+
     fn may_have_run(&self, key: AttemptKey) -> bool {
         self.out.get(&key).is_some_and(|(connection, tag)| connection.may_have_run(tag, key))
     }
 
     fn probe(&mut self, member: MemberId) -> bool {
-        let tag = self.tag();
-        tag.is_some_and(|tag| {
-            self.dispatch(member, &tag, Err(member), there(tag.as_str()), false, None).is_some()
-        })
+        let Some(tag) = self.tag() else { return false };
+        let opening = Opening {
+            tag: &tag,
+            purpose: Purpose::Probe(member),
+            room: self.room(false),
+            tally: None,
+            write_by: None,
+            guarded: false,
+            members: [Some(member), None],
+        };
+        self.dispatch(member, &opening, &there(tag.as_str())).is_some()
     }
 
     fn look(&mut self) {
--- a/front/src/engine/cells.rs
+++ b/front/src/engine/cells.rs
@@ -72,6 +72,12 @@
         self.0.values().map(|(l, ..)| *l).collect()
     }
 
+    /// Whether the member is there and may be sent new work.
+    pub fn is_ready(&self, member: MemberId) -> bool {
+        let listing = self.0.get(&member).map(|(listing, ..)| self.overruled(listing));
+        listing.is_some_and(|l| l.availability == Availability::Ready)
+    }
+
     pub fn kind(&self, member: MemberId) -> Option<elmtide::KindId> {
         self.0.get(&member).map(|(l, ..)| l.kind)
     }
--- a/front/src/exchange.rs
+++ b/front/src/exchange.rs
@@ -170,6 +170,10 @@
     pub max_age: Option<Ms>,
     pub mode: FillMode,
     pub timeout: Ms,
+    /// Unix time after which it is not begun to be written: what an earlier attempt did may be forgotten by then.
+    pub write_by: Option<Ms>,
+    /// It may not simply be repeated.
+    pub guarded: bool,
 }
 
 /// How far an attempt had come when its connection failed it: this decides whether a write may be sent again.
@@ -219,6 +223,10 @@
     fn ended(&mut self, key: AttemptKey);
     /// Gives an attempt up and tells how far it had come; `None` if its end is on the way already.
     fn give_up(&mut self, key: AttemptKey) -> Option<Progress>;
+    /// Takes an attempt back of which nothing has been written, nor will be; false if that is not so. It ends by this.
+    fn withdraw(&mut self, key: AttemptKey) -> bool;
+    /// Takes back all attempts of which nothing has been written and that such a member would serve or fill.
+    fn withdraw_from(&mut self, lost: &dyn Fn(MemberId) -> bool) -> Vec<AttemptKey>;
     /// Whether an attempt that is out has been written whole.
     fn may_have_run(&self, key: AttemptKey) -> bool;
     /// False if there is no way to the member.
--- a/front/src/memory/exchanges.rs
+++ b/front/src/memory/exchanges.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
-use elmtide::{MemberId, Ms, RequestId, Try};
+use elmtide::{ClassId, MemberId, Ms, RequestId, Try};
 
 use crate::exchange::{Answer, Incoming, Passed, Responder, Token};
 
@@ -23,6 +23,9 @@
     sources: Vec<(Try, MemberId)>,
     /// One of those that have ended was written whole.
     pub may_have_run: bool,
+    /// When the first of those that have ended and may have run was sent.
+    ran_since: Option<Ms>,
+    pub class: ClassId,
     /// The router that decides on it.
     pub router: usize,
     /// Milliseconds of sending at full pace, where its size is told.
@@ -31,8 +34,10 @@
 
 impl Exchange {
     pub fn new(incoming: Incoming) -> Exchange {
-        let Incoming { deadline, passed, responder, .. } = incoming;
+        let Incoming { deadline, passed, responder, class, .. } = incoming;
         Exchange {
+            ran_since: None,
+            class,
             deadline,
             passed,
             responder: Some(responder),
@@ -91,6 +96,17 @@
         out.map(|(place, _)| Try(place as u8))
     }
 
+    /// An attempt that was sent at this moment has ended and may have run.
+    pub fn ran(&mut self, sent: Ms) {
+        self.ran_since = Some(self.ran_since.map_or(sent, |first| first.min(sent)));
+    }
+
+    /// When the first attempt was sent that has run, as far as is known.
+    pub fn first_run(&self) -> Option<Ms> {
+        let out = self.attempts.iter().flatten().copied();
+        self.ran_since.into_iter().chain(out).min_by(Ms::total_cmp)
+    }
+
     /// When the attempt was sent and to whom, if it was out: each has one end.
     pub fn end_attempt(&mut self, attempt: Try) -> Option<(Ms, MemberId)> {
         let place = usize::from(attempt.0);
