Take in what lies unread before a client's connection is closed, and close without a reset

Read line by line: the closing of clients' connections against bytes that come in the same moment. Lines at fault, as they were: - sockets.rs, run(): send_away() came before the turn's events were read, so a request that lay unread on a resting connection at SIGTERM was closed over: the close resets the connection, and an answer just written goes with it. - sockets.rs, flush(): a connection sent away was closed after its answer, whether or not the next request lay unread on it. - turn(): every end was a plain close. After the last answer, after a breach of the protocol (the error said before it was lost) and after a refusal over garbage the client saw a reset. Now our side ends, what still comes is dropped for 1 s and 1 MB at most, and 64 connections at most linger so. - clients.rs: the look for resting connections and the room made for new ones could shut a connection whose request came whole in the same instant: it was sent on and its answer went nowhere. Closing and taking a request are now decided under one lock. - serve.rs: at the end of the process a connection that waited to be accepted was reset. Now all that has come is answered and all clients are closed, for 0.4 s at most, after what is left to the next process has been written. - http.rs: a refusal for too many requests was closed over the rest of its body. Ruled out: the mailbox (a delivery for a connection that has gone is dropped), ids used again (serials), half requests (not idle).

--- a/front/src/lifecycle/serve.rs
+++ b/front/src/lifecycle/serve.rs
@@ -43,6 +43,8 @@
 const BODIES: usize = 8;
 /// After SIGTERM new connections come for up to 0.4 s and requests for 0.2 s: the front stays at least so long.
 const STAY: Duration = Duration::from_millis(1000);
+/// Once all is answered, so long is waited for what still comes and for the clients' own ends of their connections.
+const FINISH: Duration = Duration::from_millis(400);
 /// So often it is looked whether an earlier process has gone.
 const WAIT: Duration = Duration::from_millis(20);
 /// An earlier process that gives its addresses up has closed the last of them after so long, or has been killed.
@@ -159,7 +161,8 @@
         spawn("ledger", opens).map_err(|e| format!("ledger thread: {e}"))?;
         running = Some((edge, ledger, handover, path));
     }
-    let sockets = Sockets::new(listener, origin, clients, intake).map_err(|e| format!("epoll: {e}"))?;
+    let (sockets, finish) =
+        Sockets::new(listener, origin, clients, intake).map_err(|e| format!("epoll: {e}"))?;
     let ended = inputs.clone();
     let run = move || {
         // Without this thread the program is deaf: it ends, and is started again.
@@ -210,6 +213,10 @@
             Err(why) => eprintln!("ledger: nothing is left to the next process: {why}"),
         }
     }
+    // After what is left to the next process: a kill may come meanwhile.
+    if !finish.within(&counters.mode, FINISH) {
+        eprintln!("draining: some clients have not closed their connections");
+    }
     let _ = inputs.send(Input::Stop);
     eprintln!("{counters}");
     eprintln!("stopped");
--- a/front/src/memory/mode.rs
+++ b/front/src/memory/mode.rs
@@ -19,6 +19,8 @@
     state: AtomicU8,
     /// This front's machine goes out for work.
     goes: AtomicBool,
+    /// All that was open at the end has been answered.
+    finishing: AtomicBool,
 }
 
 impl Mode {
@@ -68,6 +70,15 @@
         self.set(State::Ending);
     }
 
+    /// Ending, with all that was open answered: what still comes is answered too, then all connections are closed.
+    pub fn finish(&self) {
+        self.finishing.store(true, Relaxed);
+    }
+
+    pub fn is_finishing(&self) -> bool {
+        self.finishing.load(Relaxed)
+    }
+
     /// Whether readiness says yes.
     pub fn is_ready(&self) -> bool {
         self.state() == State::Serving && !self.goes.load(Relaxed)
--- a/front/src/server/clients.rs
+++ b/front/src/server/clients.rs
@@ -36,6 +36,8 @@
     /// Has brought a request that could be used.
     heard: AtomicBool,
     open: AtomicUsize,
+    /// It is being closed by us. Set and asked under the table's lock: what is read after that is not sent on.
+    closed: AtomicBool,
     /// Milliseconds of the table's clock: when it last had something to do, and until when it must have brought
     /// or taken in what it has begun (0: it has begun nothing).
     idle_since: AtomicU64,
@@ -69,27 +71,57 @@
         self.take_by.store(0, Relaxed);
     }
 
-    pub fn shut(&self) {
+    fn shut(&self) {
         let _ = self.stream.shutdown(Shutdown::Both);
     }
 
-    /// A request has come whole; `None` where this address, or all together, have too many open.
-    pub fn open(self: &Arc<Self>, counters: &Arc<Counters>) -> Option<Owed> {
+    /// Bytes have come that nobody has looked at.
+    pub fn has_unread(&self) -> bool {
+        rustix::io::ioctl_fionread(&self.stream).is_ok_and(|n| n > 0)
+    }
+
+    /// Ends our side of the connection, if no request is open on it: true if it is ended. What has been written still
+    /// goes out; what still comes is the client's to send again, and has to be read and dropped, since a close over
+    /// unread bytes takes with it what was written.
+    pub fn close_idle(&self) -> bool {
+        let _book = self.table.book();
+        let idle = self.open.load(Relaxed) == 0;
+        if idle {
+            self.closed.store(true, Relaxed);
+            let _ = self.stream.shutdown(Shutdown::Write);
+        }
+        idle
+    }
+
+    /// A request has come whole.
+    pub fn open(self: &Arc<Self>, counters: &Arc<Counters>) -> Result<Owed, NotTaken> {
         let mut book = self.table.book();
+        if self.closed.load(Relaxed) {
+            return Err(NotTaken::Closed);
+        }
         if book.requests >= REQUESTS {
-            return None;
+            return Err(NotTaken::TooMany);
         }
         let of_address = book.addresses.entry(self.address).or_default();
         if of_address.requests >= REQUESTS / PER_ADDRESS {
-            return None;
+            return Err(NotTaken::TooMany);
         }
         of_address.requests += 1;
         book.requests += 1;
         self.open.fetch_add(1, Relaxed);
-        Some(Owed { client: self.clone(), _unwritten: Unwritten::new(counters) })
+        Ok(Owed { client: self.clone(), _unwritten: Unwritten::new(counters) })
     }
 }
 
+/// Why a request that has come whole is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotTaken {
+    /// This address, or all together, have too many open.
+    TooMany,
+    /// It has crossed the close of its connection: its client sends it again on a new one.
+    Closed,
+}
+
 /// Held from a request's last byte until its answer is written.
 #[derive(Debug)]
 pub struct Owed {
@@ -215,6 +247,7 @@
             table: table.clone(),
             heard: AtomicBool::new(false),
             open: AtomicUsize::new(0),
+            closed: AtomicBool::new(false),
             idle_since: AtomicU64::new(table.millis(now)),
             bring_by: AtomicU64::new(table.millis(now + REQUEST)),
             take_by: AtomicU64::new(0),
@@ -235,10 +268,15 @@
             let now = table.millis(Instant::now());
             let past = |due: &AtomicU64| (1..now).contains(&due.load(Relaxed));
             let idle = now.saturating_sub(IDLE.as_millis() as u64);
+            // Under the lock, so that a request that comes whole in the same instant is either open by now, and the
+            // connection does not rest, or is not taken any more.
             for client in table.book().clients.values() {
                 let open = client.open.load(Relaxed) > 0;
                 let rests = !open && client.heard.load(Relaxed) && client.idle_since.load(Relaxed) < idle;
-                if past(&client.take_by) || (!open && past(&client.bring_by)) || rests {
+                if past(&client.take_by)
+                    || (!open && (past(&client.bring_by) || (rests && !client.has_unread())))
+                {
+                    client.closed.store(true, Relaxed);
                     client.shut();
                 }
             }
@@ -265,13 +303,12 @@
     let mut order: Vec<(bool, u64, u64)> =
         idle.map(|(place, c)| (c.heard.load(Relaxed), c.idle_since.load(Relaxed), *place)).collect();
     order.sort_unstable();
-    let unread = |place: &u64| {
-        book.clients.get(place).is_some_and(|c| rustix::io::ioctl_fionread(&c.stream).is_ok_and(|n| n > 0))
-    };
+    let unread = |place: &u64| book.clients.get(place).is_some_and(|c| c.has_unread());
     let Some(place) = order.into_iter().map(|(_, _, place)| place).find(|place| !unread(place)) else {
         return false;
     };
     if let Some(client) = book.clients.get(&place) {
+        client.closed.store(true, Relaxed);
         client.shut();
     }
     book.remove(place);
--- a/front/src/server/fastcgi.rs
+++ b/front/src/server/fastcgi.rs
@@ -12,7 +12,7 @@
 use crate::exchange::{Answer, Input, Responder};
 use crate::memory::budget::Held;
 use crate::process::clock;
-use crate::server::clients::{Client, Owed};
+use crate::server::clients::{Client, NotTaken, Owed};
 use crate::server::mailbox::{Delivery, Mailbox};
 use crate::server::{Fields, Intake};
 use crate::wire::fastcgi::{self, Malformed, Pairs, ProtocolStatus, Record};
@@ -61,6 +61,8 @@
     TooLong,
     Reused(u16),
     Unusable,
+    /// By us, in the moment in which a request came whole.
+    Closed,
 }
 
 impl fmt::Display for Broken {
@@ -70,6 +72,7 @@
             Broken::TooLong => write!(f, "a request that is too long"),
             Broken::Reused(id) => write!(f, "request id {id}, begun while it was open"),
             Broken::Unusable => write!(f, "{UNUSABLE} requests in a row that can't be used"),
+            Broken::Closed => write!(f, "a request that crossed its close"),
         }
     }
 }
@@ -164,6 +167,11 @@
         self.intake.counters.mode.sends_away()
     }
 
+    /// The process is about to end: connections are closed whatever they have brought so far.
+    pub fn finishes(&self) -> bool {
+        self.intake.counters.mode.is_finishing()
+    }
+
     /// Nothing is open, coming in or begun on this connection.
     pub fn is_idle(&self) -> bool {
         self.open.is_empty() && self.half.is_empty() && self.input.is_empty()
@@ -172,7 +180,7 @@
     /// Has brought a request and has nothing open now: a client sent away has had its answers. One that has
     /// brought nothing yet may be one that came just before readiness said no, and is served first.
     pub fn is_done(&self) -> bool {
-        self.brought && self.is_idle()
+        (self.brought || self.finishes()) && self.is_idle()
     }
 
     fn say(&mut self, put: impl FnOnce(&mut Vec<u8>)) {
@@ -327,10 +335,14 @@
         };
         self.unusable = 0;
         self.client.heard();
-        let Some(owed) = self.client.open(&self.intake.counters) else {
-            self.intake.counters.refused_early.fetch_add(1, Relaxed);
-            self.end(half.keep, |out| fastcgi::end_request(out, id, 0, ProtocolStatus::Overloaded));
-            return Ok(());
+        let owed = match self.client.open(&self.intake.counters) {
+            Ok(owed) => owed,
+            Err(NotTaken::Closed) => return Err(Broken::Closed),
+            Err(NotTaken::TooMany) => {
+                self.intake.counters.refused_early.fetch_add(1, Relaxed);
+                self.end(half.keep, |out| fastcgi::end_request(out, id, 0, ProtocolStatus::Overloaded));
+                return Ok(());
+            }
         };
         self.serials += 1;
         let (connection, slot, serial) = (self.connection, id, self.serials);
--- a/front/src/server/http.rs
+++ b/front/src/server/http.rs
@@ -17,7 +17,7 @@
 use crate::memory::budget::Held;
 use crate::memory::ledger::{Entered, Ledger};
 use crate::process::{clock, spawn};
-use crate::server::clients::{Client, Clients, REQUEST};
+use crate::server::clients::{Client, Clients, NotTaken, REQUEST};
 use crate::server::{Field, Fields, Intake, Ready};
 use crate::wire::http::{self, Body, RequestHead};
 
@@ -112,10 +112,17 @@
                     let keep = head.keep;
                     self.client.heard();
                     self.client.brings(None);
-                    let Some(_owed) = self.client.open(&self.site.intake.counters) else {
-                        self.site.intake.counters.refused_early.fetch_add(1, Relaxed);
-                        self.send(&reply(&Answer::Refused { wait_ms: Some(500) }, false), false, false);
-                        return;
+                    let _owed = match self.client.open(&self.site.intake.counters) {
+                        Ok(owed) => owed,
+                        Err(NotTaken::Closed) => return,
+                        Err(NotTaken::TooMany) => {
+                            self.site.intake.counters.refused_early.fetch_add(1, Relaxed);
+                            if self.send(&reply(&Answer::Refused { wait_ms: Some(500) }, false), false, false)
+                            {
+                                self.drop_rest();
+                            }
+                            return;
+                        }
                     };
                     let Some(reply) = self.answer(&head, body) else { return };
                     if !self.send(&reply, keep, head.method == "HEAD") || !keep {
--- a/front/src/server/mailbox.rs
+++ b/front/src/server/mailbox.rs
@@ -43,7 +43,14 @@
     }
 
     pub fn post(&self, delivery: Delivery) {
-        if self.deliveries.send(delivery).is_ok() && !self.bell.rung.swap(true, SeqCst) {
+        if self.deliveries.send(delivery).is_ok() {
+            self.wake();
+        }
+    }
+
+    /// Has the thread look at what else has changed.
+    pub fn wake(&self) {
+        if !self.bell.rung.swap(true, SeqCst) {
             // It can fail only where it is rung already.
             let _ = rustix::io::write(&self.bell.fd, &1u64.to_ne_bytes());
         }
--- a/front/src/server/sockets.rs
+++ b/front/src/server/sockets.rs
@@ -5,22 +5,22 @@
 //! each of 190 connections, most of them idle, 82 of 100 parts of the CPU went there, and the front stayed at its
 //! limit over work that takes a quarter of it.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::Ordering::Relaxed;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use crossbeam_channel::Receiver;
+use crossbeam_channel::{bounded, Receiver, Sender};
 use rustix::buffer::spare_capacity;
 use rustix::event::epoll::{self, EventData, EventFlags};
 use rustix::event::Timespec;
 
 use crate::lifecycle::listener::Origin;
-use crate::memory::mode::State;
+use crate::memory::mode::{Mode, State};
 
 use crate::server::clients::{Admitted, Clients};
 use crate::server::fastcgi::{Broken, Conversation};
@@ -39,6 +39,10 @@
 const ACCEPT: usize = 32;
 /// A client with so much to take in brings nothing new.
 const QUEUE: usize = 64;
+/// A connection that we have ended is read from until its client ends it too, so long and so far, and so many at a
+/// time: a close over unread bytes resets it, and takes the last answers with it.
+const LINGER: (Duration, usize) = (Duration::from_secs(1), 1 << 20);
+const LINGERING: usize = 64;
 
 struct Connection {
     admitted: Admitted,
@@ -50,20 +54,47 @@
 
 /// Why a connection ends.
 enum End {
-    /// By the client, or after the last answer.
-    Usual,
+    /// By the client.
+    Left,
+    /// By us, after the last answer.
+    Done,
     Broken(Broken),
 }
 
 impl From<io::Error> for End {
     fn from(_: io::Error) -> End {
-        End::Usual
+        End::Left
     }
 }
 
 impl From<Broken> for End {
     fn from(why: Broken) -> End {
-        End::Broken(why)
+        match why {
+            Broken::Closed => End::Done,
+            why => End::Broken(why),
+        }
+    }
+}
+
+/// A connection whose side of ours has ended: what still comes is dropped.
+struct Lingering {
+    admitted: Admitted,
+    until: Instant,
+    left: usize,
+}
+
+impl Lingering {
+    /// False once it is over.
+    fn drop_rest(&mut self, buffer: &mut [u8]) -> bool {
+        let mut stream: &TcpStream = self.admitted.client.stream();
+        match stream.read(buffer) {
+            Ok(0) => false,
+            Ok(got) => {
+                self.left = self.left.saturating_sub(got);
+                self.left > 0
+            }
+            Err(why) => waits(&why),
+        }
     }
 }
 
@@ -81,7 +112,7 @@
         let ended = what.intersects(EventFlags::HUP | EventFlags::ERR);
         if ended || what.contains(EventFlags::IN) {
             match self.stream().read(buffer) {
-                Ok(0) => return Err(End::Usual),
+                Ok(0) => return Err(End::Left),
                 Ok(got) => {
                     let taken = self.conversation.take(&buffer[..got]);
                     // What was said to the client before it broke the protocol still goes out.
@@ -90,7 +121,7 @@
                     return flushed;
                 }
                 Err(why) if waits(&why) => {}
-                Err(_) => return Err(End::Usual),
+                Err(_) => return Err(End::Left),
             }
         }
         self.flush()
@@ -105,7 +136,7 @@
                 client.takes();
             }
             match stream.write(&chunk.bytes[self.written..]) {
-                Ok(0) => return Err(End::Usual),
+                Ok(0) => return Err(End::Left),
                 Ok(some) => self.written += some,
                 Err(why) if waits(&why) => break,
                 Err(why) => return Err(why.into()),
@@ -117,18 +148,19 @@
                 self.written = 0;
                 // A client sent away has had its last answer once nothing else is open or owed: decided as the
                 // answer goes out, not when it was queued, since more may have come meanwhile.
-                let away =
-                    self.sent_away() && self.conversation.is_done() && self.conversation.out.is_empty();
-                if last || away {
-                    return Err(End::Usual);
+                if last || self.may_go() {
+                    return Err(End::Done);
                 }
             }
         }
         Ok(())
     }
 
-    fn sent_away(&self) -> bool {
-        self.conversation.sends_away()
+    /// A client that is sent away has had all its answers, and nothing lies unread that it has asked since.
+    fn may_go(&self) -> bool {
+        let conversation = &self.conversation;
+        let done = conversation.sends_away() && conversation.is_done() && conversation.out.is_empty();
+        done && !self.admitted.client.has_unread()
     }
 
     /// What the connection waits for now, if that has changed.
@@ -151,9 +183,26 @@
     clients: Clients,
     intake: Arc<Intake>,
     connections: HashMap<u64, Connection>,
+    lingering: BTreeMap<u64, Lingering>,
     next: u64,
     mailbox: Mailbox,
     deliveries: Receiver<Delivery>,
+    finished: Sender<()>,
+}
+
+/// How the end of the program reaches the thread of the sockets.
+pub struct Finish {
+    mailbox: Mailbox,
+    finished: Receiver<()>,
+}
+
+impl Finish {
+    /// Has what came late answered, and all connections closed; waits for that so long at most. True if it is done.
+    pub fn within(&self, mode: &Mode, most: Duration) -> bool {
+        mode.finish();
+        self.mailbox.wake();
+        self.finished.recv_timeout(most).is_ok()
+    }
 }
 
 impl Sockets {
@@ -162,14 +211,16 @@
         origin: Origin,
         clients: Clients,
         intake: Arc<Intake>,
-    ) -> io::Result<Sockets> {
+    ) -> io::Result<(Sockets, Finish)> {
         let epoll = epoll::create(epoll::CreateFlags::CLOEXEC)?;
         let (mailbox, deliveries) = Mailbox::new()?;
         listener.set_nonblocking(true)?;
         epoll::add(&epoll, &listener, EventData::new_u64(LISTENER), EventFlags::IN)?;
         epoll::add(&epoll, mailbox.bell(), EventData::new_u64(WAKER), EventFlags::IN)?;
         let connections = HashMap::new();
-        Ok(Sockets {
+        let (finished, told) = bounded(1);
+        let finish = Finish { mailbox: mailbox.clone(), finished: told };
+        let sockets = Sockets {
             epoll,
             listener,
             origin,
@@ -177,10 +228,13 @@
             clients,
             intake,
             connections,
+            lingering: BTreeMap::new(),
             next: FIRST,
             mailbox,
             deliveries,
-        })
+            finished,
+        };
+        Ok((sockets, finish))
     }
 
     /// Serves for as long as the program runs.
@@ -191,26 +245,68 @@
             events.clear();
             // It is interrupted each time the process is stopped and goes on.
             let turn = Timespec { tv_sec: 0, tv_nsec: i64::from(TURN.subsec_nanos()) };
-            if epoll::wait(&self.epoll, spare_capacity(&mut events), Some(&turn)).is_err() {
-                continue;
+            if epoll::wait(&self.epoll, spare_capacity(&mut events), Some(&turn)).is_ok() {
+                self.serve(&events, &mut buffer);
             }
-            self.send_away();
-            for event in &events {
-                match event.data.u64() {
-                    LISTENER => self.accept(),
-                    WAKER => self.mailbox.heard(),
-                    id => self.turn(id, |connection| connection.ready(event.flags, &mut buffer)),
+        }
+    }
+
+    /// One turn: what has come is taken in first, and only then idle connections are closed.
+    fn serve(&mut self, events: &[epoll::Event], buffer: &mut [u8]) {
+        for event in events {
+            match event.data.u64() {
+                LISTENER => self.accept(),
+                WAKER => self.mailbox.heard(),
+                id if self.lingering.contains_key(&id) => {
+                    if self.lingering.get_mut(&id).is_some_and(|l| !l.drop_rest(buffer)) {
+                        self.lingering.remove(&id);
+                    }
                 }
+                id => self.turn(id, |connection| connection.ready(event.flags, buffer)),
             }
-            while let Ok(delivery) = self.deliveries.try_recv() {
-                self.turn(delivery.connection, |connection| {
-                    connection.conversation.answer(&delivery);
-                    connection.flush()
-                });
-            }
+        }
+        while let Ok(delivery) = self.deliveries.try_recv() {
+            self.turn(delivery.connection, |connection| {
+                connection.conversation.answer(&delivery);
+                connection.flush()
+            });
+        }
+        self.send_away();
+        let now = Instant::now();
+        self.lingering.retain(|_, l| now < l.until);
+        self.finish();
+    }
+
+    /// The program ends: all that has come is answered and all connections are closed, theirs too.
+    fn finish(&mut self) {
+        if !self.intake.counters.mode.is_finishing() {
+            return;
+        }
+        if self.accepting {
+            self.accept();
+        }
+        if self.connections.is_empty() && self.lingering.is_empty() {
+            let _ = self.finished.try_send(());
         }
     }
 
+    /// Ends our side and drops what still comes. An open request is given up by this: its client is owed nothing more, or
+    /// has broken the protocol.
+    fn linger(&mut self, id: u64, connection: Connection) {
+        let Connection { admitted, conversation, .. } = connection;
+        drop(conversation);
+        admitted.client.close_idle();
+        let data = EventData::new_u64(id);
+        if epoll::modify(&self.epoll, admitted.client.stream(), data, EventFlags::IN).is_err() {
+            return;
+        }
+        if self.lingering.len() >= LINGERING {
+            self.lingering.pop_first();
+        }
+        let lingering = Lingering { admitted, until: Instant::now() + LINGER.0, left: LINGER.1 };
+        self.lingering.insert(id, lingering);
+    }
+
     /// Paused or ending, idle connections are closed; ending on a listener that the next process shares too, no
     /// connection is taken any more: those that wait are the next process's.
     fn send_away(&mut self) {
@@ -221,14 +317,19 @@
         if self.accepting && self.origin == Origin::Inherited && mode.state() == State::Ending {
             self.accepting = epoll::delete(&self.epoll, &self.listener).is_err();
         }
-        let idle = |c: &Connection| c.conversation.is_done() && c.conversation.out.is_empty();
-        self.connections.retain(|_, connection| !idle(connection));
+        let idle = self.connections.iter().filter(|(_, c)| c.may_go()).map(|(id, _)| *id);
+        for id in idle.collect::<Vec<_>>() {
+            if let Some(connection) = self.connections.remove(&id) {
+                self.linger(id, connection);
+            }
+        }
     }
 
     /// Lets a connection do something. An end, and a panic, is its own and nobody else's.
     fn turn(&mut self, id: u64, act: impl FnOnce(&mut Connection) -> Result<(), End>) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
         let acted = catch_unwind(AssertUnwindSafe(|| act(connection)));
+        let mut ours = true;
         let why = match acted {
             Ok(Ok(())) => {
                 let data = EventData::new_u64(id);
@@ -239,7 +340,11 @@
                 }
                 None
             }
-            Ok(Err(End::Usual)) => None,
+            Ok(Err(End::Done)) => None,
+            Ok(Err(End::Left)) => {
+                ours = false;
+                None
+            }
             Ok(Err(End::Broken(why))) => Some(why.to_string()),
             Err(_) => Some("a panic".into()),
         };
@@ -247,7 +352,10 @@
             self.intake.counters.broken_clients.fetch_add(1, Relaxed);
             self.intake.log.say(|| format!("client connection: closed over {why}"));
         }
-        self.connections.remove(&id);
+        let Some(connection) = self.connections.remove(&id) else { return };
+        if ours {
+            self.linger(id, connection);
+        }
     }
 
     fn accept(&mut self) {
@@ -282,3 +390,6 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests;
