Pass on by what a repeat is known, and run every write at its source: another customer's settings

Change: the field goes on as it came; over HTTP it is the Idempotency-Key of such a class.

A sibling, by search for what takes one property for another: engine/mod.rs took "must not run twice" for "is never kept", so that a write that may be repeated by key lost its source, and failed, where its cell or the fleet had no fill left. Requests now carry whether they write.

--- a/front/src/client/pool.rs
+++ b/front/src/client/pool.rs
@@ -135,6 +135,7 @@
             through: order.mode.no_copy_at_parent,
             update: order.mode.renew,
             got: passed.seen.as_ref().map(Token::as_str),
+            replay: passed.unique.as_ref().map(Token::as_str),
             body: &passed.body,
         };
         let left = |by: Ms| Duration::from_secs_f64(((by - clock::unix_ms()) / 1000.0).clamp(0.0, 3600.0));
--- a/front/src/engine/mod.rs
+++ b/front/src/engine/mod.rs
@@ -680,28 +680,28 @@
 
     /// Whether a request of this router may have a miss filled from what is common. What never is kept has to be run
     /// there, and is not held back by it.
-    fn may_fill(&mut self, router: usize, once: bool) -> bool {
+    fn may_fill(&mut self, router: usize, write: bool) -> bool {
         let now = self.now;
-        let Some(cells) = self.cells.as_mut().filter(|_| !once) else { return true };
+        let Some(cells) = self.cells.as_mut().filter(|_| !write) else { return true };
         cells.cell(router).is_none_or(|cell| cells.cells.may_fill(cell, now))
     }
 
-    /// The source, if what belongs to all fronts allows a fill from it. What must run once is no fill: it has to be run
+    /// The source, if what belongs to all fronts allows a fill from it. What never is kept is no fill: it has to be run
     /// there.
     fn shared_fill(
         &mut self,
         key: AttemptKey,
         cache: elmtide::MemberId,
         source: Option<elmtide::MemberId>,
-        once: bool,
+        write: bool,
     ) -> Option<elmtide::MemberId> {
         let Some(spending) = &mut self.spending else { return source };
         let work = self.exchanges.get(key.id).and_then(|e| e.work);
-        spending.sent(source.is_some_and(|s| s != cache), work, once);
-        let from = source.filter(|_| !once);
+        spending.sent(source.is_some_and(|s| s != cache), work, write);
+        let from = source.filter(|_| !write);
         let Some(kind) = from.map(|from| self.listed.kind(from)) else { return source };
         let from_origin = kind.is_some() && kind == self.settings.origin_kind;
-        source.filter(|_| spending.may_fill(key, from_origin, once))
+        source.filter(|_| spending.may_fill(key, from_origin, write))
     }
 
     fn settle_ended(&mut self) {
@@ -794,9 +794,9 @@
                 }
                 self.alarms.push(Reverse((micros(self.now + timeout), Alarm::Attempt(id.0, attempt.0))));
                 self.counters.sent.fetch_add(1, Relaxed);
-                let may_fill = self.may_fill(router, passed.once);
+                let may_fill = self.may_fill(router, passed.write);
                 let source = Some(source).filter(|s| *s != cache && may_fill);
-                let source = self.shared_fill(key, cache, source, passed.once);
+                let source = self.shared_fill(key, cache, source, passed.write);
                 if let Some(working) = &mut self.working {
                     let exchange = self.exchanges.get_mut(id);
                     let work = exchange.as_ref().and_then(|e| e.work);
--- a/front/src/engine/tests.rs
+++ b/front/src/engine/tests.rs
@@ -67,8 +67,10 @@
             item: word("7f3a9c21e0b4d655"),
             part: word("0"),
             seen: None,
+            unique: None,
             body: Vec::new(),
             once: false,
+            write: false,
             _held: Budget::new(0).held(),
             tally: Arc::default(),
         }),
@@ -118,6 +120,7 @@
         id: ClassId(id),
         write: false,
         once: false,
+        keyed: false,
         deadline: 0.0,
     };
     let retune = |engine: &mut Engine<Silent>, classes: Vec<Class>, deadlines: &[f64]| {
@@ -193,7 +196,8 @@
     engine.take(Input::Listed { from: ListSource::Bus, news, event });
     let now = clock::unix_ms();
     engine.take(Input::Purged { object: Some(ObjectId(7)), group: PurgeGroup(0), at: now });
-    let a = Class { name: "a".into(), id: ClassId(0), write: false, once: false, deadline: 2000.0 };
+    let a =
+        Class { name: "a".into(), id: ClassId(0), write: false, once: false, keyed: false, deadline: 2000.0 };
     let done = Box::new(|taken: Result<Vec<Class>, String>| assert!(taken.is_ok()));
     engine.take(Input::Retune(Box::new(Retune { settings, classes: vec![a], done })));
     let word = |text: &str| crate::exchange::Token::new(text.as_bytes()).unwrap();
@@ -213,8 +217,10 @@
                 item: word("7f3a9c21e0b4d655"),
                 part: word("0"),
                 seen: None,
+                unique: None,
                 body: Vec::new(),
                 once: false,
+                write: false,
                 _held: Budget::new(0).held(),
                 tally: Arc::default(),
             }),
@@ -336,8 +342,10 @@
             item: word("7f3a9c21e0b4d655"),
             part: word("0"),
             seen: None,
+            unique: None,
             body: Vec::new(),
             once: false,
+            write: false,
             _held: Budget::new(0).held(),
             tally: Arc::default(),
         }),
@@ -452,3 +460,33 @@
     engine.take(Input::Returned { key, returned: Returned::Broke(Progress::NotConnected) });
     assert_eq!(*way.write_by.lock().unwrap(), [None, None]);
 }
+
+/// Cells whose part of the fills is used up: what is kept is asked for without one, but what never is kept has to be run at
+/// its source whatever its class says of repeats.
+#[test]
+fn a_write_is_run_at_its_source_where_no_fill_is_left() {
+    for (repeat, write, wanted) in [
+        (Repeat::Safe, false, None),
+        (Repeat::Keyed, true, Some(ORIGIN)),
+        (Repeat::Unsafe, true, Some(ORIGIN)),
+    ] {
+        let way = Waiting::default();
+        let (mut engine, answers) = engine_with(&way, repeat, true);
+        let boxes = vec!["s-1".into(), "s-2".into()];
+        let cell =
+            elmtide_cells::Cell { name: "a".into(), boxes, weight: 1.0, source_share: 1.0, evacuate: false };
+        let limits = elmtide_cells::Limits { fills: 1e-9, ..Default::default() };
+        let layout = Layout::new(vec![cell], Vec::new(), limits).unwrap();
+        engine.take(Input::Cells(Some(Box::new(layout))));
+        let now = engine.now;
+        let cells = &mut engine.cells.as_mut().unwrap().cells;
+        (0..100).for_each(|_| cells.filled(elmtide_cells::CellIx(0), now));
+        let Input::Taken(mut incoming) = request(1, 60_000.0, &answers) else { panic!("a request") };
+        if let Some(passed) = Arc::get_mut(&mut incoming.passed) {
+            (passed.once, passed.write) = (repeat == Repeat::Unsafe, write);
+        }
+        engine.take(Input::Taken(incoming));
+        let sources: Vec<Option<MemberId>> = way.out.lock().unwrap().iter().map(|(_, m)| m[1]).collect();
+        assert_eq!(sources, [wanted], "{repeat:?}, write {write}");
+    }
+}
--- a/front/src/exchange.rs
+++ b/front/src/exchange.rs
@@ -36,6 +36,8 @@
     pub write: bool,
     /// It must not run twice.
     pub once: bool,
+    /// Cache nodes know a repeat of it by its key.
+    pub keyed: bool,
     pub deadline: Ms,
 }
 
@@ -47,9 +49,13 @@
     pub item: Token,
     pub part: Token,
     pub seen: Option<Token>,
+    /// By what cache nodes know a repeat of it, where its client has said so.
+    pub unique: Option<Token>,
     pub body: Vec<u8>,
     /// It must not run twice.
     pub once: bool,
+    /// It is never kept: it has to be run at its source, and is no fill.
+    pub write: bool,
     /// What the request holds of the bytes allowed to all.
     pub _held: Held,
     /// The counts of its class.
--- a/front/src/lifecycle/config.rs
+++ b/front/src/lifecycle/config.rs
@@ -106,6 +106,7 @@
                 id: ClassId(place as u16),
                 write: settings.classes.get(place).is_some_and(|c| c.write),
                 once: settings.classes.get(place).is_some_and(|c| c.repeat == Repeat::Unsafe),
+                keyed: settings.classes.get(place).is_some_and(|c| c.repeat == Repeat::Keyed),
                 deadline: settings.classes.get(place).map_or(0.0, |c| c.deadline),
             })
             .collect();
--- a/front/src/server/fastcgi.rs
+++ b/front/src/server/fastcgi.rs
@@ -313,6 +313,7 @@
                 b"HTTP_X_SET" => fields.group.put(value),
                 b"HTTP_X_RAM_KB" => fields.size_kb.put(value),
                 b"HTTP_X_SEEN" => fields.seen.put(value),
+                b"HTTP_X_UNIQUE" => fields.unique.put(value),
                 _ => {}
             }
         }
--- a/front/src/server/http.rs
+++ b/front/src/server/http.rs
@@ -271,6 +271,10 @@
             group: field("x-set"),
             size_kb: field("x-ram-kb"),
             seen,
+            unique: match (class.keyed, head.header("idempotency-key")) {
+                (true, Some(key)) => Field::Once(key.trim_matches('"').as_bytes()),
+                _ => Field::Absent,
+            },
             shop: field("x-shop"),
         };
         let mut held = self.site.intake.bodies.held();
--- a/front/src/server/mod.rs
+++ b/front/src/server/mod.rs
@@ -66,6 +66,8 @@
     pub group: Field<'a>,
     pub size_kb: Field<'a>,
     pub seen: Field<'a>,
+    /// By what a repeat is known.
+    pub unique: Field<'a>,
     pub shop: Field<'a>,
 }
 
@@ -161,20 +163,18 @@
         let allow = fields.allow_ms.read(None, |v| figure(v, 2.0 * class.deadline))?;
         let group = fields.group.read(Some(0), digits::<u8>)?;
         let size_kb = fields.size_kb.read(Some(0.0), |v| figure(v, MOST_KB))?;
-        let seen = match fields.seen {
-            Field::Absent => None,
-            Field::Once(tag) => Some(Token::new(tag)?),
-            Field::Doubled => return None,
-        };
+        let seen = fields.seen.read(Some(None), |tag| Token::new(tag).map(Some))?;
+        let unique = fields.unique.read(Some(None), |key| Token::new(key).map(Some))?;
         let shop = match fields.shop {
             Field::Absent => ShopId::of(""),
             Field::Once(name) => ShopId::of(Token::new(name)?.as_str()),
             Field::Doubled => return None,
         };
         let job = fields.job.read(None, hex)?;
-        let (class_name, once) = (class.name.clone(), class.once);
+        let (class_name, once, write) = (class.name.clone(), class.once, class.write);
         let tally = tally.clone();
-        let passed = Passed { job, class_name, item, part, seen, body, once, _held: held, tally };
+        let passed =
+            Passed { job, class_name, item, part, seen, unique, body, once, write, _held: held, tally };
         (allow > 0.0).then(|| Ready {
             class: class.id,
             object: ObjectId(object),
--- a/front/src/server/sockets/tests.rs
+++ b/front/src/server/sockets/tests.rs
@@ -40,8 +40,14 @@
     fn start() -> Front {
         let counters = Arc::new(Counters::default());
         let (to, inputs) = unbounded();
-        let class =
-            Class { name: "reads".into(), id: ClassId(0), write: false, once: false, deadline: 900.0 };
+        let class = Class {
+            name: "reads".into(),
+            id: ClassId(0),
+            write: false,
+            once: false,
+            keyed: false,
+            deadline: 900.0,
+        };
         let intake = Arc::new(Intake::new(vec![class], Budget::new(1 << 20), to, counters.clone()));
         counters.mode.serves();
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/front/src/wire/lines.rs
+++ b/front/src/wire/lines.rs
@@ -23,6 +23,8 @@
     pub through: bool,
     pub update: bool,
     pub got: Option<&'a str>,
+    /// By what a repeat is known.
+    pub replay: Option<&'a str>,
     pub body: &'a [u8],
 }
 
@@ -55,6 +57,9 @@
         if let Some(got) = self.got {
             let _ = write!(line, ",got={got}");
         }
+        if let Some(replay) = self.replay {
+            let _ = write!(line, ",replay={replay}");
+        }
         let _ = write!(line, " {}\r\n", self.body.len());
         let mut out = line.into_bytes();
         out.extend_from_slice(self.body);
--- a/front/tests/common/mod.rs
+++ b/front/tests/common/mod.rs
@@ -15,10 +15,11 @@
 
 /// Settings with one cache location; the longest deadline is short, so that the ledger opens soon.
 const SETTINGS: &str = r#"{"Az":1,"GroupSize":1,"Zones":["east","edge-1"],"Kinds":["small","parent","origin"],
-"Weights":"rough","FamilyInfo":{"ShieldKind":1,"SourceKind":2,"NeverKept":[false,true],"ClientKbPerS":7800.0,
+"Weights":"rough","FamilyInfo":{"ShieldKind":1,"SourceKind":2,"NeverKept":[false,true,true],"ClientKbPerS":7800.0,
 "CountByZone":[0,1]},"Limits":{"TryLimit":8,"Cancelling":true,"Probes":true,"SecondCopies":true,"RetryAfter":true,
 "MaxRetryAfterMs":500.0},"RequestClasses":[{"Name":"small-files","OnTimeMs":400,"HardLimitMs":900,"Repeat":"free"},
-{"Name":"plan-signup","OnTimeMs":600,"HardLimitMs":900,"Repeat":"single_shot"}]}"#;
+{"Name":"plan-signup","OnTimeMs":600,"HardLimitMs":900,"Repeat":"single_shot"},
+{"Name":"card-renewal","OnTimeMs":400,"HardLimitMs":900,"Repeat":"guarded","Group":"all","MemorySpanMs":600}]}"#;
 
 pub struct Log(Mutex<Vec<String>>, Condvar);
 
