Open nothing in the middle of a line that nobody waits for, and age what waits by the settings

Read line by line, two faults on the way to cache nodes (client/streams.rs): - accepts() did not ask what the reading side was in the middle of. Now an idle connection in the middle of a line takes nothing, one in the middle of anything takes nothing that may not be repeated. What lies behind an answer in the reader's buffer is seen before the answer is handed on. - STALE, 700 ms, was a number for the usual site's 1 s of purges: with a customer's grace of 300 ms an attempt decided before a purge could be written after it bound. It is now seven tenths of the shortest grace that the settings tell, 700 ms at most, as before for the usual site. Ruled out: an answer that is still coming to somebody (others may share it as before), and never_mind frames (no opening).

One order is a race that no test forces: that the buffer is looked at before the answer is handed on.

--- a/front/src/client/connection.rs
+++ b/front/src/client/connection.rs
@@ -45,12 +45,14 @@
     pub connect_timeout: Duration,
     /// Looks without a byte until it is first asked whether it is still there.
     pub patience: u32,
+    /// What has waited so long to be written is not written any more.
+    pub stale: Duration,
 }
 
 impl Connection {
     pub fn open(peer: Peer, inputs: Sender<Input>, counters: Arc<Counters>) -> io::Result<Arc<Connection>> {
         let (frames, queue) = bounded(QUEUE);
-        let streams = Mutex::new(Streams::new(peer.patience, Instant::now()));
+        let streams = Mutex::new(Streams::new(peer.patience, peer.stale, Instant::now()));
         let reads = AtomicU64::new(0);
         let connection = Arc::new(Connection { streams, frames, reads, stream: Mutex::new(None) });
         let own = connection.clone();
@@ -235,7 +237,15 @@
             if !whole || end != *b"\r\n" {
                 return;
             }
-            let answered = self.streams().answer_ends(&tag, Instant::now());
+            let answered = {
+                let mut streams = self.streams();
+                let answered = streams.answer_ends(&tag, Instant::now());
+                // What has come behind it is seen before anybody can act on the answer.
+                if !reader.buffer().is_empty() {
+                    streams.line_begins();
+                }
+                answered
+            };
             let Some(slot) = answered else { continue };
             let input = match slot.purpose {
                 Purpose::GivenUp | Purpose::Ping => continue,
--- a/front/src/client/pool.rs
+++ b/front/src/client/pool.rs
@@ -27,6 +27,8 @@
     pub probes: bool,
     /// Looks at a connection that brings nothing until that is asked.
     pub patience: u32,
+    /// What has waited so long to be written is not written any more.
+    pub stale: Duration,
 }
 
 /// Up to this price of one probe for each request, in parts of the service, a silent connection is asked at once.
@@ -93,8 +95,8 @@
             let open = self.connections.get(&member)?;
             return open.iter().find(|c| c.try_send(&many, frame.to_vec())).cloned();
         }
-        let Limits { connect_timeout, patience, .. } = self.limits;
-        let peer = Peer { addr, connect_timeout, patience };
+        let Limits { connect_timeout, patience, stale, .. } = self.limits;
+        let peer = Peer { addr, connect_timeout, patience, stale };
         let connection = Connection::open(peer, self.inputs.clone(), self.counters.clone()).ok()?;
         let sent = connection.try_send(opening, frame.to_vec());
         self.connections.entry(member).or_default().push(connection.clone());
--- a/front/src/client/streams.rs
+++ b/front/src/client/streams.rs
@@ -27,9 +27,19 @@
 const MUTE: u32 = 4;
 /// nor is it after so many in the middle of an answer, or of a line that does not end.
 const STALLED: u32 = 8;
-/// What has waited so long for a peer that takes in nothing is not sent any more: it was decided before purges
-/// and drains that may have been told since, and these bind what is sent from 1 s and 2 s on.
-pub const STALE: Duration = Duration::from_millis(700);
+/// What has waited for a peer that takes in nothing is not sent any more after this part of the shortest time from which on
+/// what is told binds (the settings' grace of purges and of drains): it was decided before what may have been told since.
+const STALE: f64 = 0.7;
+/// Between these. The rules' own slack is 50 ms.
+const STALE_RANGE: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(700));
+
+/// How long an attempt may wait to be written, by the times from which on what is told binds.
+pub fn stale(graces: impl IntoIterator<Item = Option<elmtide::Ms>>) -> Duration {
+    let graces = graces.into_iter().flatten().filter(|ms| ms.is_finite());
+    let least = graces.fold(f64::INFINITY, f64::min);
+    let (from, to) = STALE_RANGE;
+    Duration::try_from_secs_f64(least.max(0.0) * STALE / 1000.0).unwrap_or(to).clamp(from, to)
+}
 
 /// What an answer on this connection belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -133,6 +143,8 @@
     /// Takes nothing new; closed once nothing is open.
     retired: bool,
     last_used: Instant,
+    /// What has waited so long is not written any more.
+    stale: Duration,
     reading: Reading,
     /// Looks that found the reading side in the middle of one and the same thing that nobody waits for.
     stuck: u32,
@@ -145,7 +157,7 @@
 }
 
 impl Streams {
-    pub fn new(patience: u32, now: Instant) -> Streams {
+    pub fn new(patience: u32, stale: Duration, now: Instant) -> Streams {
         Streams {
             slots: HashMap::new(),
             answered: VecDeque::new(),
@@ -153,6 +165,7 @@
             closed: false,
             retired: false,
             last_used: now,
+            stale,
             reading: Reading::Nothing,
             stuck: 0,
             seen: 0,
@@ -170,7 +183,17 @@
         let taken = if room.alone { open > 0 } else { self.slots.values().any(|s| s.alone) };
         let used =
             self.slots.contains_key(opening.tag) || (opening.guarded && self.answered.contains(opening.tag));
-        !(self.closed || self.retired || taken || used || open >= room.streams)
+        !(self.closed || self.retired || taken || used || open >= room.streams || self.is_busy(opening, open))
+    }
+
+    /// What is coming may break the connection before it is whole, and the opening must not be broken by it. The beginning of
+    /// a line on an idle connection belongs to nobody: it ends the connection, or keeps all else waiting.
+    fn is_busy(&self, opening: &Opening<'_>, open: usize) -> bool {
+        match &self.reading {
+            Reading::Nothing => false,
+            Reading::Line => open == 0 || opening.guarded,
+            Reading::Answer(_) => opening.guarded,
+        }
     }
 
     pub fn open(&mut self, opening: &Opening<'_>, now: Instant) -> Turn {
@@ -268,7 +291,8 @@
         if slot.turn != turn {
             return Admitted::Skipped;
         }
-        if now.saturating_duration_since(slot.since) > STALE || slot.write_by.is_some_and(|by| now > by) {
+        if now.saturating_duration_since(slot.since) > self.stale || slot.write_by.is_some_and(|by| now > by)
+        {
             let purpose = slot.purpose;
             self.slots.remove(tag);
             return Admitted::Overdue(purpose);
--- a/front/src/client/streams/tests.rs
+++ b/front/src/client/streams/tests.rs
@@ -7,6 +7,7 @@
 use super::*;
 
 const IDLE: Duration = Duration::from_secs(18);
+const STALE: Duration = Duration::from_millis(700);
 
 fn key(attempt: u8) -> AttemptKey {
     AttemptKey { id: RequestId(7), attempt: Try(attempt) }
@@ -30,7 +31,7 @@
 
 fn streams() -> (Streams, Instant) {
     let now = Instant::now();
-    (Streams::new(QUIET.0, now), now)
+    (Streams::new(QUIET.0, STALE, now), now)
 }
 
 fn is_written(admitted: &Admitted) -> bool {
@@ -226,3 +227,47 @@
     assert!(s.withdraw(&alone, key(0)));
     assert!(s.accepts(&opening(&other, 1)));
 }
+
+/// Half a line has come on an idle connection: what opens now would end with it, and what may not be repeated would be lost.
+#[test]
+fn nothing_new_opens_in_the_middle_of_what_nobody_waits_for() {
+    let (a, b) = (tag("a"), tag("b"));
+    let guarded = |tag| Opening { guarded: true, ..opening(tag, 1) };
+    let (mut s, now) = streams();
+    assert!(s.accepts(&opening(&a, 0)) && s.accepts(&guarded(&a)));
+    s.line_begins();
+    assert!(!s.accepts(&opening(&a, 0)) && !s.accepts(&guarded(&a)), "half a line, and nothing is open");
+    // A second answer, to what has ended: its bytes are still to come.
+    s.answer_begins(&a);
+    assert!(!s.accepts(&guarded(&b)));
+    assert!(s.answer_ends(&a, now).is_none());
+    assert!(s.accepts(&opening(&b, 0)) && s.accepts(&guarded(&b)), "it is whole, and the connection of use");
+
+    // The answer to what is open comes in pieces: others may come beside it, but nothing that may not be repeated.
+    let turn = s.open(&opening(&a, 0), now);
+    assert!(is_written(&s.admit(&a, Some(turn), now)));
+    s.line_begins();
+    assert!(s.accepts(&opening(&b, 0)) && !s.accepts(&guarded(&b)));
+    s.answer_begins(&a);
+    assert!(s.accepts(&opening(&b, 0)) && !s.accepts(&guarded(&b)));
+    assert_eq!(s.give_up(&a, key(0), now), Some(Progress::PartOfAnswer));
+    assert!(!s.accepts(&guarded(&b)), "nor once nobody waits for it");
+}
+
+/// How long an attempt waits to be written goes by the settings: one that purges bind at once, and one that says nothing.
+#[test]
+fn what_waits_is_stale_before_what_is_told_binds() {
+    let ms = |ms: f64| Duration::from_secs_f64(ms / 1000.0);
+    assert_eq!(stale([Some(2000.0), Some(1000.0)]), ms(700.0));
+    assert_eq!(stale([Some(300.0), Some(1000.0)]), ms(210.0));
+    assert_eq!(stale([Some(1500.0), Some(1200.0)]), ms(700.0));
+    assert_eq!(stale([None, None]), ms(700.0));
+    for odd in [0.0, -5.0] {
+        assert_eq!(stale([Some(odd), None]), ms(40.0), "{odd}");
+    }
+    assert_eq!(stale([Some(f64::NAN), Some(f64::INFINITY)]), ms(700.0));
+    let (job, now) = (tag("a"), Instant::now());
+    let mut s = Streams::new(QUIET.0, ms(210.0), now);
+    let turn = s.open(&opening(&job, 0), now);
+    assert!(matches!(s.admit(&job, Some(turn), now + ms(211.0)), Admitted::Overdue(_)));
+}
--- a/front/src/lifecycle/config.rs
+++ b/front/src/lifecycle/config.rs
@@ -9,6 +9,7 @@
 
 use crate::client::bus::Names;
 use crate::client::pool::Limits;
+use crate::client::streams::stale;
 use crate::exchange::Class;
 use crate::wire::bus::{self, Batch};
 
@@ -121,6 +122,7 @@
             connections: sockets / 3,
             probes: settings.probes,
             patience: Limits::patience(told["Deductions"]["Probe"].as_f64()),
+            stale: stale([settings.drain_grace, told["FamilyInfo"]["PurgeSlackMs"].as_f64()]),
         };
         let management = match std::env::var("LB_MANAGEMENT").ok().filter(|t| !t.is_empty()) {
             Some(text) => {
