--- a/front/src/server/http.rs
+++ b/front/src/server/http.rs
@@ -29,6 +29,8 @@
 /// What still comes of a request that was turned away is counted and dropped, so far and so long: a close with
 /// bytes unread would take the answer away.
 const DROPPED: (u64, Duration) = (64 << 20, Duration::from_secs(5));
+/// The same behind the last answer of a connection that had nothing wrong.
+const LINGER: (u64, Duration) = (16 << 20, Duration::from_secs(2));
 /// So often a waiting thread looks whether its client is still there.
 const LOOK: Duration = Duration::from_millis(50);
 /// Past its deadline an answer is still waited for this long: the engine gives one by then.
@@ -112,33 +114,39 @@
                     let keep = head.keep;
                     self.client.heard();
                     self.client.brings(None);
-                    let _owed = match self.client.open(&self.site.intake.counters) {
+                    let owed = match self.client.open(&self.site.intake.counters) {
                         Ok(owed) => owed,
                         Err(NotTaken::Closed) => return,
                         Err(NotTaken::TooMany) => {
                             self.site.intake.counters.refused_early.fetch_add(1, Relaxed);
                             if self.send(&reply(&Answer::Refused { wait_ms: Some(500) }, false), false, false)
                             {
-                                self.drop_rest();
+                                self.drop_rest(LINGER);
                             }
                             return;
                         }
                     };
                     let Some(reply) = self.answer(&head, body) else { return };
-                    if !self.send(&reply, keep, head.method == "HEAD") || !keep {
+                    let written = self.send(&reply, keep, head.method == "HEAD");
+                    drop(owed);
+                    if !written {
                         return;
                     }
+                    if !keep {
+                        break;
+                    }
                 }
-                Ok(None) => return,
+                Ok(None) => break,
                 Err(refused) => {
                     self.site.intake.counters.bad_requests.fetch_add(1, Relaxed);
-                    if self.send(&refused, false, false) && refused.status == 413 {
-                        self.drop_rest();
+                    if self.send(&refused, false, false) {
+                        self.drop_rest(DROPPED);
                     }
                     return;
                 }
             }
         }
+        self.drop_rest(LINGER);
     }
 
     fn send(&self, reply: &Response, keep: bool, head_only: bool) -> bool {
@@ -150,9 +158,10 @@
         written
     }
 
-    fn drop_rest(&mut self) {
+    /// Ends our side, and reads on until the client ends its own, so far and so long.
+    fn drop_rest(&mut self, (mut left, most): (u64, Duration)) {
         let _ = self.client.stream().shutdown(Shutdown::Write);
-        let (until, mut left) = (Instant::now() + DROPPED.1, DROPPED.0);
+        let until = Instant::now() + most;
         self.client.heard();
         self.client.brings(None);
         loop {
--- a/front/src/server/management.rs
+++ b/front/src/server/management.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::Arc;
@@ -28,13 +28,21 @@
 /// How often overdue callers are looked for.
 const TURN: Duration = Duration::from_millis(100);
 const LISTENER: u64 = 0;
+/// Bytes read at a time.
+const READ: usize = 8192;
 
 struct Caller {
     stream: TcpStream,
     came: Vec<u8>,
     since: Instant,
+    /// It has its reply and our side has ended; what it still brings is dropped, so many bytes more: a close over unread
+    /// bytes would take the reply away.
+    dropping: Option<usize>,
 }
 
+/// Bytes behind a call that are read and dropped.
+const DROPPED: usize = 4 << 20;
+
 pub struct Management {
     epoll: OwnedFd,
     listener: TcpListener,
@@ -96,7 +104,8 @@
                 epoll::add(&self.epoll, &stream, EventData::new_u64(id), EventFlags::IN).map_err(Into::into)
             });
             if added.is_ok() {
-                self.callers.insert(id, Caller { stream, came: Vec::new(), since: Instant::now() });
+                self.callers
+                    .insert(id, Caller { stream, came: Vec::new(), since: Instant::now(), dropping: None });
             }
         }
     }
@@ -104,13 +113,17 @@
     /// Reads what a caller brought; true once it is done with.
     fn hear(&mut self, id: u64) -> bool {
         let Some(caller) = self.callers.get_mut(&id) else { return false };
-        let mut buffer = [0; LONGEST];
+        let mut buffer = [0; READ];
         let got = match caller.stream.read(&mut buffer) {
             Ok(0) => return true,
             Ok(got) => got,
             Err(why) if matches!(why.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => return false,
             Err(_) => return true,
         };
+        if let Some(left) = &mut caller.dropping {
+            *left = left.saturating_sub(got);
+            return *left == 0;
+        }
         let room = LONGEST.saturating_sub(caller.came.len());
         caller.came.extend_from_slice(&buffer[..got.min(room + 1)]);
         let Some(call) = management::read(&caller.came) else { return false };
@@ -121,8 +134,10 @@
         // Replies are short: the socket's buffer takes them whole, or the caller is not reading.
         let _ = caller.stream.set_nonblocking(false);
         let _ = caller.stream.set_write_timeout(Some(Duration::from_millis(200)));
-        let _ = caller.stream.write_all(reply.as_bytes());
-        true
+        let written = caller.stream.write_all(reply.as_bytes());
+        let ended = written.and_then(|()| caller.stream.shutdown(Shutdown::Write));
+        caller.dropping = Some(DROPPED);
+        ended.and_then(|()| caller.stream.set_nonblocking(true)).is_err()
     }
 }
 
