Owe large requests a place on a full link where they fall short of their class

Cause: pick_cache's `bears` falls with a request's own work, from 5 to 2 times the fair transfers, so small ones hold a link at a level at which large ones are never let in. Taken: the router counts what share of a class and of its requests of over the mean work is answered; where the second falls under 0.7 of the first, a full link bears those and sheds the others, more the longer it lasts.

--- a/rules/src/lib.rs
+++ b/rules/src/lib.rs
@@ -7,6 +7,7 @@
 //! - **pushed over**: a node that has just started gets no more than it bears;
 //! - **purged**: from 1 s after a purge nothing older is answered.
 
+pub mod sizes;
 pub mod spends;
 
 use std::collections::BTreeMap;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,7 +1,6 @@
-//! Every decision of elmtide. Its types, events and actions are in src/interface.rs.
-//! One `Router` lives in each front. Reading order: constants, ring table, members and ramps, health, cold
-//! budgets, purges, request life cycle. Times are milliseconds; "work" is the sending time of an answer at
-//! full pace, so a member whose link fits n transfers does n ms of work in one.
+//! Every decision of elmtide; one `Router` lives in each front. Its types are in src/interface.rs. Below:
+//! constants, ring table, members and ramps, health, cold budgets, purges, requests. Times are ms; "work" is
+//! an answer's sending time at full pace: a member whose link fits n transfers does n ms of work in one.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -33,6 +32,7 @@
 const COLD_PART: f64 = 0.6; // part of a cold budget used: weights are rough, sizes vary, fronts differ
 const OVERRUN: f64 = 2.6; // multiple of its fair transfers at which a cache passes requests down the group
 const SHED: (f64, f64) = (2.0, 5.0); // multiple in the whole group at which a request is refused: least, most
+const FAIR: f64 = 0.7; // part of its class's answered share that is owed to requests of over its mean work
 const RETRY_EARN: f64 = 0.1; // further attempts earned by a request: overload is not multiplied
 const RETRY_SAVE: f64 = 20.0; // and saved up at most
 const RETURN: f64 = 0.6; // least part of the wait told to those refused: they must not come back together
@@ -151,9 +151,8 @@
         Ring { ids: list.iter().map(|m| m.1).collect(), lead, r, columns, starts, slots }
     }
 
-    /// The object's group, in the order for one of its parts: by a hash of object, part and member (the
-    /// paper's 2.6 starts at a random place of the group). Parts are kept and filled on their own, so a long
-    /// object loads its whole group and not one link; a rebuild that keeps a group keeps its order.
+    /// The object's group, in the order for one of its parts (the paper's 2.6 starts at a random place): a
+    /// long object loads its whole group and not one link; a rebuild that keeps a group keeps its order.
     pub fn group(&self, object: ObjectId, part: u32) -> Vec<MemberId> {
         if self.ids.is_empty() {
             return Vec::new();
@@ -277,8 +276,7 @@
     purges: BTreeMap<Purged, Ms>,
     purges_swept: Ms,
     open: BTreeMap<RequestId, Open>,
-    /// Strain of the links and of the origin alone, and what may be out to each under guard.
-    near: Guard,
+    near: Guard, // strain of the links, then of the origin alone, and what may be out to each under guard
     far: Guard,
     fills: Window,
     origin: Window,
@@ -307,8 +305,7 @@
     }
 }
 
-/// How many of a thing may be out under guard: what comes back late makes it less, in time more. Below one it
-/// is a chance, so that many fronts with a small part each still add up to the whole.
+/// How many of a thing may be out under guard: late ones make it less. Below one it is a chance of one.
 #[derive(Debug, Default)]
 struct Window {
     out: f64,
@@ -341,8 +338,10 @@
 struct ClassView {
     stretch: f64,
     spread: f64,
-    work: f64, // mean work of a request
-    seen: f64, // requests that it is the mean of, a few supposed
+    work: f64,          // mean work of a request
+    seen: f64,          // requests that it is the mean of, a few supposed
+    answered: [f64; 2], // shares of all and of those of over the mean work
+    owed: f64,          // to those, 0 to 1: how far a full link bears them rather than the others
 }
 
 impl Router {
@@ -350,7 +349,7 @@
         out.extend(set.must_subscribe.then_some(Action::Subscribe));
         let (stretch, spread) = FIRST_STRETCH;
         let work = |c: &ClassSettings| sane(Some(c.aim)).unwrap_or(OVERHEAD);
-        let view = |c| ClassView { stretch, spread, work: work(c), seen: 3.0 };
+        let view = |c| ClassView { stretch, spread, work: work(c), seen: 3.0, answered: [1.0; 2], owed: 0.0 };
         let near = set.zone_fronts.get(usize::from(set.zone.0)).copied().or(set.fronts);
         let shared = |fronts: Option<u32>| f64::from(fronts.unwrap_or(1).max(1));
         Router {
@@ -400,9 +399,7 @@
         match event {
             Event::List { news, entries } => self.on_list(now, news, &entries, out),
             Event::Request(request) => self.on_request(now, request, out),
-            Event::FirstByte { id, .. } => {
-                self.open.get_mut(&id).into_iter().for_each(|o| o.streaming = true)
-            }
+            Event::FirstByte { id, .. } => drop(self.open.entry(id).and_modify(|o| o.streaming = true)),
             Event::Reply { .. } => self.on_reply(now, event, out),
             Event::Expired { id } => self.close(id, out),
             Event::Timer { token: ASK_TOKEN } => out.push(Action::Subscribe),
@@ -427,18 +424,14 @@
             return out.extend(self.set.must_subscribe.then_some(again));
         }
         let gone = |m: &Member| m.listing.availability == Availability::Gone;
-        if news != ListNews::Delta {
-            // Whoever is missing from a whole list has been removed.
-            for member in self.members.values_mut().filter(|m| !gone(m)) {
-                (member.listing.availability, member.gone_at) = (Availability::Gone, now);
-            }
-        }
+        // Whoever is missing from a whole list has been removed.
+        let missing = self.members.values_mut().filter(|m| news != ListNews::Delta && !gone(m));
+        missing.for_each(|m| (m.listing.availability, m.gone_at) = (Availability::Gone, now));
         for listing in entries {
             let Some(role) = self.role(listing) else { continue };
             let member = self.members.entry(listing.member).or_insert_with(|| Member::new(*listing, role));
             if member.listing.born != listing.born {
-                // A new process: nothing that was held against the last one applies.
-                member.health = Health::default();
+                member.health = Health::default(); // nothing that was held against the last process applies
             }
             (member.listing, member.role, member.gone_at) = (*listing, role, now);
         }
@@ -448,14 +441,12 @@
 
     /// A member's least share at its start, ms until it is warm, fall multiple, and the fronts that share it.
     fn cold(&self, member: &Member) -> Option<(f64, Ms, f64, f64)> {
-        let (set, zone) = (&self.set, usize::from(member.listing.zone.0));
-        let near = set.zone_fronts.get(zone).copied().or(set.fronts);
+        let (s, zone) = (&self.set, usize::from(member.listing.zone.0));
+        let near = s.zone_fronts.get(zone).copied().or(s.fronts);
         let (from, span, multiple, fronts) = match member.role {
             Role::Origin => return None,
-            Role::Parent => {
-                (set.parent_cold_from, set.parent_cold_span, set.parent_fall_multiple, set.fronts)
-            }
-            _ => (set.cold_from, set.cold_span, set.fall_multiple, near),
+            Role::Parent => (s.parent_cold_from, s.parent_cold_span, s.parent_fall_multiple, s.fronts),
+            _ => (s.cold_from, s.cold_span, s.fall_multiple, near),
         };
         let fronts = member.among.unwrap_or(f64::from(fronts.unwrap_or(1).max(1)));
         Some((sane(from).unwrap_or(0.0).min(1.0), sane(span)?, sane(multiple).unwrap_or(1.0), fronts))
@@ -587,15 +578,15 @@
         }
         self.retries = if self.lent { self.retries } else { (self.retries + RETRY_EARN).min(RETRY_SAVE) };
         let deadline = now + sane(Some(request.left)).unwrap_or(0.0);
-        let Some(view) = self.classes.get_mut(usize::from(request.class.0)) else {
-            out.push(Action::Fail { id: request.id });
-            return;
+        let class = usize::from(request.class.0);
+        let Some(view) = self.classes.get_mut(class) else {
+            return out.push(Action::Fail { id: request.id });
         };
         let told = sane(request.size_kb).zip(sane(self.set.pace)).map(|(size, pace)| size / pace * 1000.0);
         let work = told.unwrap_or(view.work);
         view.seen += if told.is_some() { 1.0 } else { 0.0 };
         view.work += (work - view.work) * LEARN.max(1.0 / view.seen);
-        let class = &self.set.classes[usize::from(request.class.0)];
+        let class = &self.set.classes[class];
         let aim = sane(Some(class.aim)).unwrap_or(0.0) + work * sane(class.aim_stretch).unwrap_or(0.0);
         let aim_at = deadline.min(now + aim);
         let (attempts, done, streaming) = (Vec::new(), false, false);
@@ -608,6 +599,7 @@
         let Some(open) = self.open.get(&id).filter(|o| !o.done) else { return };
         let first = open.attempts.is_empty();
         if !self.send(now, id, out) {
+            self.ended(id, 0.0);
             let Some(open) = self.open.get_mut(&id) else { return };
             open.done = true;
             let class = &self.set.classes[usize::from(open.request.class.0)];
@@ -704,10 +696,11 @@
             if !self.may_repeat(now, id, class, member) {
                 continue;
             }
-            let open = &self.open[&id];
-            let full = member.out / self.fair(member);
+            let (open, full) = (&self.open[&id], member.out / self.fair(member));
             // A full link is shared: the answer takes its work times the transfers over the fair ones.
-            let bears = ((open.aim_at - now - OVERHEAD) / open.work).clamp(SHED.0, SHED.1);
+            let own = ((open.aim_at - now - OVERHEAD) / open.work).clamp(SHED.0, SHED.1);
+            let bears =
+                own + (if open.work > mean { SHED.1 } else { SHED.0 } - own) * self.classes[class].owed;
             // Down the group past what is overrun; outside it, to one tried before, to one ejected only last.
             let mut trouble = u32::from(full >= OVERRUN) * 2 + u32::from(place >= group.len()) * 3;
             trouble += u32::from(open.attempts.iter().any(|a| a.cache == cache && !a.missed())) * 4;
@@ -735,11 +728,9 @@
             Repeat::Unsafe => ran.next().is_none(),
             Repeat::Keyed => ran.all(|a| {
                 let Some(from) = self.members.get(&a.cache) else { return false };
-                let same = match class.key_scope {
-                    KeyScope::All => true,
-                    KeyScope::Zone => from.listing.zone == to.listing.zone,
-                    KeyScope::Cell => from.listing.cell == to.listing.cell,
-                };
+                let (from, to, zone) = (&from.listing, &to.listing, class.key_scope == KeyScope::Zone);
+                let near = if zone { from.zone == to.zone } else { from.cell == to.cell };
+                let same = class.key_scope == KeyScope::All || near;
                 same && now - a.sent < sane(class.key_window).unwrap_or(0.0) - TOO_LATE
             }),
         }
@@ -849,6 +840,7 @@
         ended.for_each(|id| self.members.get_mut(&id).into_iter().for_each(less));
         match outcome {
             Outcome::Ok => {
+                self.ended(id, 1.0);
                 let Some(open) = self.open.get(&id) else { return };
                 let failed = open.attempts.iter().filter(|a| a.doubtful && a.cache != cache);
                 let failed: Vec<(MemberId, MemberId)> = failed.map(|a| (a.cache, a.source)).collect();
@@ -915,6 +907,16 @@
         }
     }
 
+    /// A request has been answered or not: large ones that fall short of their class are owed a place.
+    fn ended(&mut self, id: RequestId, answered: f64) {
+        let Some(open) = self.open.get(&id).filter(|o| !o.done) else { return };
+        let view = &mut self.classes[usize::from(open.request.class.0)];
+        let of = &mut view.answered[..=usize::from(open.work > view.work)];
+        of.iter_mut().for_each(|share| *share += (answered - *share) * LEARN);
+        let short = view.answered[1] < FAIR * view.answered[0];
+        view.owed = (view.owed + if short { LEARN } else { -LEARN }).clamp(0.0, 1.0);
+    }
+
     /// The request is over: what is still out is called off.
     fn close(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.open.get_mut(&id) else { return };
@@ -945,8 +947,7 @@
 }
 
 impl Open {
-    /// Fails wherever it is tried: the fault is its own, and a further try only costs work and retries that
-    /// others need. Clients can send such requests by hundreds.
+    /// Fails wherever it is tried: the fault is its own. Clients can send such requests by hundreds.
     fn is_unusable(&self) -> bool {
         let first = self.attempts.iter().find(|a| a.doubtful);
         first.is_some_and(|f| self.attempts.iter().any(|a| a.doubtful && a.cache != f.cache))
