--- a/front/src/client/resolver.rs
+++ b/front/src/client/resolver.rs
@@ -251,6 +251,7 @@
 
 fn ask_tcp(to: SocketAddr, bytes: &[u8]) -> std::io::Result<Vec<u8>> {
     let mut stream = TcpStream::connect_timeout(&to, TCP)?;
+    stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(TCP))?;
     stream.set_write_timeout(Some(TCP))?;
     let mut framed = (bytes.len() as u16).to_be_bytes().to_vec();
--- a/front/src/engine/mod.rs
+++ b/front/src/engine/mod.rs
@@ -167,7 +167,8 @@
         self
     }
 
-    /// New settings: a router of their own takes new requests, the one before keeps what it has open.
+    /// New settings: a router of their own takes new requests, the one before keeps what it has open. Where a file brings
+    /// the settings that there are, as one that only moves the bus does, all stays as it is.
     fn retune(&mut self, retune: Retune) -> Result<Vec<Class>, String> {
         if self.cells.is_some() {
             return Err("classes are taken over at the next start while cells are in force".into());
@@ -189,6 +190,11 @@
             };
             table.push(Class { id: elmtide::ClassId(id as u16), ..class });
         }
+        let settings = Settings { classes: merged, ..new };
+        if settings == self.settings {
+            // Nothing to decide by is new: the router keeps what it has seen of the nodes, and what it has sent to cold ones.
+            return Ok(table);
+        }
         let busy: std::collections::HashSet<usize> = self.exchanges.routers().collect();
         let free = (0..self.routers.len()).find(|r| *r != self.current && !busy.contains(r));
         let place = match free {
@@ -196,7 +202,6 @@
             None if self.routers.len() < ROUTERS => self.routers.len(),
             None => return Err("too many routers still have requests open".into()),
         };
-        let settings = Settings { classes: merged, ..new };
         let mut actions = Vec::new();
         let router = Router::new(settings.clone(), self.seed, self.now, &mut actions);
         match place == self.routers.len() {
--- a/front/src/engine/tests.rs
+++ b/front/src/engine/tests.rs
@@ -490,3 +490,179 @@
         assert_eq!(sources, [wanted], "{repeat:?}, write {write}");
     }
 }
+
+/// Bytes that requests hold together; a request that holds some of them.
+fn holding(budget: &Budget, bytes: usize, input: Input) -> Input {
+    let Input::Taken(mut incoming) = input else { panic!("a request") };
+    let passed = Arc::get_mut(&mut incoming.passed).expect("nobody else has it yet");
+    passed._held = budget.held();
+    assert!(passed._held.grow(bytes), "what was held before is not all given back");
+    Input::Taken(incoming)
+}
+
+/// A thousand clients leave while their requests wait in a cell's queue: none is started when there is room again, and the
+/// bytes that each held are there for the next.
+#[test]
+fn of_a_thousand_clients_that_leave_while_queued_none_is_sent_on() {
+    let way = Waiting::default();
+    let (mut engine, answers) = engine_with(&way, Repeat::Safe, true);
+    let boxes = vec!["s-1".into(), "s-2".into()];
+    let cell =
+        elmtide_cells::Cell { name: "a".into(), boxes, weight: 1.0, source_share: 1.0, evacuate: false };
+    let limits = elmtide_cells::Limits {
+        running: (1.0, 1.0, 1.0),
+        waiting: 2000,
+        waiting_of_shop: 2000,
+        longest: 60_000.0,
+        ..Default::default()
+    };
+    engine.take(Input::Cells(Some(Box::new(Layout::new(vec![cell], Vec::new(), limits).unwrap()))));
+    engine.take(request(1, 60_000.0, &answers));
+    let first = way.happened();
+    let Some(Happened::Sent(key, _)) = first.first().copied() else { panic!("{first:?}") };
+    // One at a time, then many at once: more than the table of exchanges holds go through in all.
+    let budget = Budget::new(900);
+    for id in 2..=600 {
+        engine.take(holding(&budget, 900, request(id, 60_000.0, &answers)));
+        engine.take(Input::Abandoned(RequestId(id)));
+    }
+    for id in 601..=1500 {
+        engine.take(holding(&budget, 1, request(id, 60_000.0, &answers)));
+    }
+    assert_eq!(way.happened(), first, "all wait: the cell runs one");
+    for id in (601..=1500).rev() {
+        engine.take(Input::Abandoned(RequestId(id)));
+    }
+    let copy = Some(Copy { bytes: vec![], digest: None, client_has_it: false });
+    let returned = Returned::Answered { outcome: Outcome::Ok, note: elmtide::Note::Hit, copy };
+    engine.take(Input::Returned { key, returned });
+    engine.pass_cells();
+    assert_eq!(way.happened(), first, "nobody is left to be started");
+    assert_eq!(answers.lock().unwrap().len(), 1, "only the one that stayed has an answer");
+    assert!(budget.held().grow(900), "all that was held is given back");
+    assert_eq!(engine.exchanges.unanswered(), 0);
+    // Nor does one that left hold the cell's only place.
+    engine.take(request(1501, 60_000.0, &answers));
+    assert_eq!(way.happened().len(), 2);
+}
+
+/// A thousand clients leave while a second copy of their request is under way too, neither written yet: both are taken back,
+/// and their ends are passed over.
+#[test]
+fn of_a_thousand_clients_that_leave_with_two_copies_waiting_neither_is_sent_on() {
+    let way = Waiting::default();
+    let (mut engine, answers) = engine_with(&way, Repeat::Safe, true);
+    let budget = Budget::new(7);
+    for id in 1..=1000 {
+        engine.take(holding(&budget, 7, request(id, 60_000.0, &answers)));
+        let at = way.out.lock().unwrap()[0].1[0];
+        let other = if at == Some(MemberId(1)) { MemberId(2) } else { MemberId(1) };
+        let mode = elmtide::FillMode::default();
+        let (id, timeout) = (RequestId(id), 5000.0);
+        engine.act(
+            0,
+            Action::Serve { id, cache: other, source: ORIGIN, rank: 1, max_age: None, mode, timeout },
+        );
+        assert_eq!(way.out.lock().unwrap().len(), 2);
+        engine.take(Input::Abandoned(id));
+        assert!(way.out.lock().unwrap().is_empty(), "request {}", id.0);
+    }
+    assert!(budget.held().grow(7) && answers.lock().unwrap().is_empty());
+    assert_eq!((engine.exchanges.unanswered(), engine.ended.len()), (0, 0));
+}
+
+/// The first answer settles a request: a second one some milliseconds late, and a reset after it, change nothing.
+#[test]
+fn what_comes_after_the_answer_is_passed_over() {
+    let ends: [fn() -> Returned; 3] = [
+        || Returned::Broke(Progress::Whole),
+        || Returned::Answered { outcome: Outcome::Full, note: elmtide::Note::Absent, copy: None },
+        || Returned::Answered { outcome: Outcome::Error, note: elmtide::Note::Absent, copy: None },
+    ];
+    for repeat in [Repeat::Safe, Repeat::Keyed, Repeat::Unsafe] {
+        for late in ends {
+            let way = Waiting { written_at_once: true, ..Waiting::default() };
+            let (mut engine, answers) = engine_with(&way, repeat, true);
+            engine.take(request(1, 60_000.0, &answers));
+            let Happened::Sent(key, _) = way.happened()[0] else { panic!("{:?}", way.happened()) };
+            let copy = Some(Copy { bytes: vec![1], digest: None, client_has_it: false });
+            let returned = Returned::Answered { outcome: Outcome::Ok, note: elmtide::Note::Hit, copy };
+            engine.take(Input::Returned { key, returned });
+            engine.take(Input::Returned { key, returned: late() });
+            assert_eq!(way.happened().len(), 1, "{repeat:?}: sent again");
+            assert_eq!(answers.lock().unwrap().len(), 1);
+
+            // The other order: the end first. What may not be repeated is failed by a reset; no answer heals that.
+            let way = Waiting { written_at_once: true, ..Waiting::default() };
+            let (mut engine, answers) = engine_with(&way, repeat, true);
+            engine.take(request(1, 60_000.0, &answers));
+            let Happened::Sent(key, _) = way.happened()[0] else { panic!("{:?}", way.happened()) };
+            engine.take(Input::Returned { key, returned: late() });
+            let (sent, said) = (way.happened().len(), answers.lock().unwrap().len());
+            let ran = !matches!(late(), Returned::Answered { outcome: Outcome::Full, .. });
+            assert_eq!(sent == 1, repeat == Repeat::Unsafe && ran, "{repeat:?}");
+            let copy = Some(Copy { bytes: vec![1], digest: None, client_has_it: false });
+            let returned = Returned::Answered { outcome: Outcome::Ok, note: elmtide::Note::Hit, copy };
+            engine.take(Input::Returned { key, returned });
+            assert_eq!((way.happened().len(), answers.lock().unwrap().len()), (sent, said), "{repeat:?}");
+        }
+    }
+}
+
+/// A file that brings the settings that there are, or only drops a class: the router keeps what it knows. A changed class
+/// is decided by a router of its own.
+#[test]
+fn a_reload_that_changes_nothing_keeps_the_router() {
+    let way = Waiting::default();
+    let (engine, _) = engine_with(&way, Repeat::Safe, true);
+    let mut engine = engine.naming(vec!["a".into()]);
+    let settings = engine.settings.clone();
+    let class = Class {
+        name: "a".into(),
+        id: ClassId(0),
+        write: false,
+        once: false,
+        keyed: false,
+        deadline: 60_000.0,
+    };
+    let reload = |engine: &mut Engine<Waiting>, settings: Settings, classes: Vec<Class>| {
+        let (to, taken) = bounded(1);
+        let done = Box::new(move |table| to.send(table).unwrap());
+        engine.take(Input::Retune(Box::new(Retune { settings, classes, done })));
+        taken.recv().unwrap().unwrap().len()
+    };
+    for _ in 0..3 {
+        assert_eq!(reload(&mut engine, settings.clone(), vec![class.clone()]), 1);
+    }
+    assert_eq!((engine.routers.len(), engine.current), (1, 0));
+    assert_eq!(reload(&mut engine, settings.clone(), Vec::new()), 0, "no request names a class any more");
+    assert_eq!((engine.routers.len(), engine.current), (1, 0));
+    let mut other = settings;
+    other.classes[0].deadline = 30_000.0;
+    assert_eq!(reload(&mut engine, other, vec![class]), 1);
+    assert_eq!((engine.routers.len(), engine.current), (2, 1));
+}
+
+/// A client comes again under the id of its request while that is open: nodes could not tell the two apart. The second fails,
+/// the first goes on, and once it is over the id may be used again.
+#[test]
+fn a_repeat_under_the_id_of_an_open_request_is_not_sent_on() {
+    let way = Waiting { written_at_once: true, ..Waiting::default() };
+    let (mut engine, answers) = engine_with(&way, Repeat::Safe, true);
+    let again = |id| {
+        let Input::Taken(mut incoming) = request(id, 60_000.0, &answers) else { panic!("a request") };
+        let job = crate::exchange::Token::new(b"9b1f03aa5c7e2d41").unwrap();
+        Arc::get_mut(&mut incoming.passed).unwrap().job = job;
+        Input::Taken(incoming)
+    };
+    engine.take(again(1));
+    engine.take(again(2));
+    let Happened::Sent(key, _) = way.happened()[0] else { panic!("{:?}", way.happened()) };
+    assert_eq!(way.happened().len(), 1);
+    assert_eq!(*answers.lock().unwrap(), [(RequestId(2), Answer::Failed)]);
+    let copy = Some(Copy { bytes: vec![], digest: None, client_has_it: false });
+    let returned = Returned::Answered { outcome: Outcome::Ok, note: elmtide::Note::Hit, copy };
+    engine.take(Input::Returned { key, returned });
+    engine.take(again(3));
+    assert_eq!((way.happened().len(), answers.lock().unwrap().len()), (2, 2));
+}
--- a/front/src/lifecycle/config.rs
+++ b/front/src/lifecycle/config.rs
@@ -179,6 +179,22 @@
             (with(r#""HardLimitMs":900"#, r#""HardLimitMs":"900""#), "no positive number"),
             (with(r#","HardLimitMs":900"#, ""), "has no HardLimitMs"),
             (with(r#""TryLimit":3"#, r#""TryLimit":0"#), "TryLimit is 0"),
+            (with(r#""TryLimit":3"#, r#""ConnIdleMs":"9""#), "Limits: ConnIdleMs is \"9\""),
+            (with(r#""Az":0"#, r#""Az":1"#), "Az is 1, and there are 1 Zones"),
+            (with(r#""Az":0"#, r#""Az":0,"Rules":{"StartCapacity":"a fifth"}"#), "Rules: StartCapacity is"),
+            (with(r#""Az":0"#, r#""Az":0,"FamilyInfo":{"PurgeSlackMs":-1}"#), "PurgeSlackMs is -1"),
+            (with(r#""Repeat":"free""#, r#""Repeat":"freely""#), "Repeat is \"freely\""),
+            (
+                with(r#""Repeat":"free""#, r#""Repeat":"guarded","MemorySpanMs":0"#),
+                "class a: MemorySpanMs is 0",
+            ),
+            (
+                with(
+                    r#""Repeat":"free"}"#,
+                    r#""Repeat":"free"},{"Name":"a","OnTimeMs":1,"HardLimitMs":2,"Repeat":"free"}"#,
+                ),
+                "class a is there twice",
+            ),
             (with(r#""TryLimit":3"#, r#""TryLimit":null"#), "TryLimit is null"),
             (
                 with(r#"{"Name":"a","OnTimeMs":100,"HardLimitMs":900,"Repeat":"free"}"#, ""),
--- a/front/src/server/management.rs
+++ b/front/src/server/management.rs
@@ -100,6 +100,7 @@
             }
             let id = self.next;
             self.next += 1;
+            let _ = stream.set_nodelay(true);
             let added = stream.set_nonblocking(true).and_then(|()| {
                 epoll::add(&self.epoll, &stream, EventData::new_u64(id), EventFlags::IN).map_err(Into::into)
             });
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -37,8 +37,43 @@
     read(&root)
 }
 
-/// Deadlines and attempts are positive numbers, and there is a class: what `read` lets pass, a reload must not.
+/// Figures that safety rests on, by their object: where one is told it is a number that is not negative. `read` takes what is
+/// none for not told, and a start that is not told to be cold would be pushed over.
+const FIGURES: [(&str, &[&str]); 3] = [
+    ("Rules", &["DrainGraceMs", "OverloadFactor", "FallMs", "StartCapacity", "WarmAfterMs", "MustAskInMs"]),
+    (
+        "FamilyInfo",
+        &[
+            "ParentFallMultiple",
+            "ParentFloor",
+            "ParentRampMs",
+            "PurgeTakesMs",
+            "PurgeSlackMs",
+            "ClientKbPerS",
+        ],
+    ),
+    ("Limits", &["ConnectTimeoutMs", "ConnIdleMs", "StreamsPerConn", "MaxRetryAfterMs"]),
+];
+
+/// Deadlines and attempts are positive numbers, there is a class, none is there twice, and no figure that safety rests on
+/// is told as something else: what `read` lets pass, a start and a reload must not.
 pub fn check(told: &Value) -> Result<(), String> {
+    for (part, keys) in FIGURES {
+        for key in keys {
+            match &told[part][key] {
+                Value::Null => {}
+                v if v.as_f64().is_some_and(|n| n >= 0.0 && n.is_finite()) => {}
+                v => return Err(format!("settings: {part}: {key} is {v}, which is no figure")),
+            }
+        }
+    }
+    let zones = told["Zones"].as_array().map_or(0, Vec::len);
+    match told["Az"].as_u64() {
+        Some(az) if zones > 0 && az >= zones as u64 => {
+            return Err(format!("settings: Az is {az}, and there are {zones} Zones"))
+        }
+        _ => {}
+    }
     let classes =
         told["RequestClasses"].as_array().ok_or("settings: RequestClasses is missing or no list")?;
     if classes.is_empty() {
@@ -54,6 +89,12 @@
         let name = name.ok_or("settings: a class has no name")?;
         positive(class, "HardLimitMs", &format!("class {name}:"))?;
         positive(class, "OnTimeMs", &format!("class {name}:"))?;
+        if !class["MemorySpanMs"].is_null() {
+            positive(class, "MemorySpanMs", &format!("class {name}:"))?;
+        }
+        if classes.iter().filter(|c| c["Name"].as_str() == Some(name)).count() > 1 {
+            return Err(format!("settings: class {name} is there twice"));
+        }
     }
     if told["Limits"].get("TryLimit").is_some() {
         positive(&told["Limits"], "TryLimit", "Limits:")?;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -82,7 +82,7 @@
 }
 
 /// Start settings. `None` means that the deployment does not tell.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     pub zone: ZoneId,
     pub classes: Vec<ClassSettings>,
