Answer what a client asked before it broke the protocol, then end its connection

Found by reading take() and turn() for what a breach crosses: sockets.rs ended the connection at once when a record could not be read, an id was used twice or a request was too long, and gave up what had been taken on it before. A request that has come whole has been taken: a connection that ends without its answer loses it. (Requests that could not be used already waited for the open ones; these did not.) Change: a broken connection is not read from any more, half requests are dropped with their bytes, and it ends, without a reset and counted once, when what is open has been answered and written. Its client's going is still seen. Ruled out: reading on and dropping meanwhile, which lets the garbage cost CPU until the deadline.

Tests, turns on real sockets: a_breach_behind_a_request_does_not_take_its_answer fails with the old end put back, and with IN left on (the loop is then busy over what lies unread); a_client_that_goes_after_a_breach_is_not_waited_for. The crate's inner tests pass.

--- a/front/src/server/fastcgi.rs
+++ b/front/src/server/fastcgi.rs
@@ -151,6 +151,18 @@
         Ok(())
     }
 
+    /// Takes nothing in any more: what has come in part is dropped.
+    pub fn stop_taking(&mut self) {
+        self.half.clear();
+        (self.input, self.begun) = (Vec::new(), None);
+        self.client.brings(None);
+    }
+
+    /// A request is open, or something said is not written yet.
+    pub fn owes(&self) -> bool {
+        !self.open.is_empty() || !self.out.is_empty()
+    }
+
     /// Writes the final answer to a request, unless that was given up meanwhile.
     pub fn answer(&mut self, delivery: &Delivery) {
         if self.open.get(&delivery.slot).is_none_or(|o| o.serial != delivery.serial) {
--- a/front/src/server/sockets.rs
+++ b/front/src/server/sockets.rs
@@ -46,6 +46,9 @@
 
 struct Connection {
     admitted: Admitted,
+    /// Its client has broken the protocol: nothing is read from it any more, and it ends once what it asked before has
+    /// been answered.
+    broken: Option<Broken>,
     conversation: Conversation,
     /// How much of the first chunk has been written.
     written: usize,
@@ -110,19 +113,20 @@
     fn ready(&mut self, what: EventFlags, buffer: &mut [u8]) -> Result<(), End> {
         // A connection that has ended says so whether or not it is to be read from.
         let ended = what.intersects(EventFlags::HUP | EventFlags::ERR);
-        if ended || what.contains(EventFlags::IN) {
+        if (ended || what.contains(EventFlags::IN)) && self.broken.is_none() {
             match self.stream().read(buffer) {
                 Ok(0) => return Err(End::Left),
                 Ok(got) => {
-                    let taken = self.conversation.take(&buffer[..got]);
-                    // What was said to the client before it broke the protocol still goes out.
-                    let flushed = self.flush();
-                    taken?;
-                    return flushed;
+                    if let Err(why) = self.conversation.take(&buffer[..got]) {
+                        self.conversation.stop_taking();
+                        self.broken = Some(why);
+                    }
                 }
                 Err(why) if waits(&why) => {}
                 Err(_) => return Err(End::Left),
             }
+        } else if ended {
+            return Err(End::Left);
         }
         self.flush()
     }
@@ -153,7 +157,10 @@
                 }
             }
         }
-        Ok(())
+        match self.broken.take_if(|_| !self.conversation.owes()) {
+            Some(why) => Err(why.into()),
+            None => Ok(()),
+        }
     }
 
     /// A client that is sent away has had all its answers, and nothing lies unread that it has asked since.
@@ -166,7 +173,8 @@
     /// What the connection waits for now, if that has changed.
     fn interest(&mut self) -> Option<EventFlags> {
         let waiting = self.conversation.out.len();
-        let mut interest = if waiting < QUEUE { EventFlags::IN } else { EventFlags::empty() };
+        let reads = waiting < QUEUE && self.broken.is_none();
+        let mut interest = if reads { EventFlags::IN } else { EventFlags::empty() };
         if waiting > 0 {
             interest |= EventFlags::OUT;
         }
@@ -385,7 +393,8 @@
         client.stream().set_nodelay(true)?;
         epoll::add(&self.epoll, client.stream(), EventData::new_u64(id), EventFlags::IN)?;
         let conversation = Conversation::new(id, client, self.intake.clone(), self.mailbox.clone());
-        let connection = Connection { admitted, conversation, written: 0, interest: EventFlags::IN };
+        let (broken, written, interest) = (None, 0, EventFlags::IN);
+        let connection = Connection { admitted, broken, conversation, written, interest };
         self.connections.insert(id, connection);
         Ok(())
     }
--- a/front/src/server/sockets/tests.rs
+++ b/front/src/server/sockets/tests.rs
@@ -66,11 +66,13 @@
         stream
     }
 
-    fn turn(&mut self) {
+    /// How many sockets had something to say.
+    fn turn(&mut self) -> usize {
         let mut events: Vec<epoll::Event> = Vec::with_capacity(64);
         let at_once = Timespec { tv_sec: 0, tv_nsec: 2_000_000 };
         epoll::wait(&self.sockets.epoll, spare_capacity(&mut events), Some(&at_once)).unwrap();
         self.sockets.serve(&events, &mut self.buffer);
+        events.len()
     }
 
     /// Turns until something has come of it.
@@ -316,3 +318,43 @@
     drop(clients);
     front.until(|front| front.sockets.lingering.is_empty().then_some(()));
 }
+
+/// A request is taken, and what its client sends behind it breaks the protocol: nothing more is read, the request has its answer,
+/// however long that takes, and only then the connection ends, without a reset, and is counted once.
+#[test]
+fn a_breach_behind_a_request_does_not_take_its_answer() {
+    let mut front = Front::start();
+    let mut client = front.connect();
+    let garbage = vec![0xFF; 300_000];
+    client.write_all(&[request("00000000000000a1", true), garbage].concat()).unwrap();
+    let asked = front.taken();
+    front.unread(1);
+    assert_eq!((0..20).map(|_| front.turn()).sum::<usize>(), 0, "what lies unread keeps nobody busy");
+    let broken = |front: &Front| front.sockets.intake.counters.broken_clients.load(Relaxed);
+    assert_eq!((front.sockets.connections.len(), broken(&front)), (1, 0), "it is owed an answer");
+    let left = front.inputs.try_iter().filter(|i| matches!(i, Input::Abandoned(_))).count();
+    assert_eq!(left, 0, "nor is the request given up");
+    asked.answer(Answer::Failed);
+    front.until(|front| front.sockets.connections.is_empty().then_some(()));
+    assert_eq!(broken(&front), 1);
+    assert!(answered(&mut client).contains("502"));
+    for _ in 0..100 {
+        front.turn();
+    }
+    assert_eq!(client.read(&mut [0]).expect("an end, not a reset"), 0);
+}
+
+/// A client that has broken the protocol and goes while it is owed an answer: its request is given up.
+#[test]
+fn a_client_that_goes_after_a_breach_is_not_waited_for() {
+    let mut front = Front::start();
+    let mut client = front.connect();
+    client.write_all(&[request("00000000000000a1", true), vec![0xFF; 64]].concat()).unwrap();
+    let asked = front.taken();
+    front.turn();
+    drop(client);
+    asked.answer(Answer::Failed);
+    front.until(|front| {
+        (front.sockets.connections.is_empty() && front.sockets.lingering.is_empty()).then_some(())
+    });
+}
