Take back a signup that nobody waits for if none of it has been sent on

Found by going through the places where a request waits: http.rs, write_once(), handed a signup in for its key and let it run whether or not anybody stayed, also one that had not been written yet and waited for its connection or in a cell's queue. Change: the ledger knows who waits for a run and what the engine knows it as; the last to leave has the engine refuse it if nothing has been written (still_unsent(), which takes back before it says so), so the ledger forgets the key. What is written runs on, and its outcome is kept. Ruled out: abandoning it as other requests are, which would lose the outcome of what has run; counting joiners by their channels, which can't tell a receiver that has gone. Tests: ledger the_last_to_leave_has_the_run_taken_back; engine, a thousand each: signups_that_nobody_waits_for_are_sent_on_only_if_they_were. That the thread calls leave() is held by reading: a stand-in can't keep a connection from coming up.

--- a/front/src/engine/mod.rs
+++ b/front/src/engine/mod.rs
@@ -270,6 +270,7 @@
                     self.exchanges.settle(id);
                 }
             }
+            Input::Unwanted(id) => self.still_unsent(id),
             Input::Returned { key, returned } => match returned {
                 Returned::Broke(progress) => self.on_end(key, progress.broken(), elmtide::Note::Absent, None),
                 Returned::Answered { outcome, note, copy } => self.on_end(key, outcome, note, copy),
@@ -903,6 +904,7 @@
         self.decided();
     }
 
+    /// Refuses a request of which nothing has been written to a node; one of which something has goes on.
     fn still_unsent(&mut self, id: RequestId) {
         let Some(exchange) = self.exchanges.get_mut(id) else { return };
         let upstream = &mut self.upstream;
--- a/front/src/engine/tests.rs
+++ b/front/src/engine/tests.rs
@@ -666,3 +666,25 @@
     engine.take(again(3));
     assert_eq!((way.happened().len(), answers.lock().unwrap().len()), (2, 2));
 }
+
+/// The last client that waits for a signup by its key leaves: a thousand that wait for a connection are not sent on, and are
+/// told as refused, so that the key may be used again; those that are written go on to their outcome.
+#[test]
+fn signups_that_nobody_waits_for_are_sent_on_only_if_they_were() {
+    for written in [false, true] {
+        let way = Waiting { written_at_once: written, ..Waiting::default() };
+        let (mut engine, answers) = engine_with(&way, Repeat::Unsafe, true);
+        for id in 1..=1000 {
+            engine.take(request(id, 60_000.0, &answers));
+            engine.take(Input::Unwanted(RequestId(id)));
+            let (out, answers) = (way.out.lock().unwrap().len(), answers.lock().unwrap());
+            match written {
+                false => {
+                    assert_eq!(out, 0, "request {id}");
+                    assert!(matches!(answers.last(), Some((of, Answer::Refused { .. })) if of.0 == id));
+                }
+                true => assert_eq!((out as u32, answers.len()), (id, 0)),
+            }
+        }
+    }
+}
--- a/front/src/exchange.rs
+++ b/front/src/exchange.rs
@@ -306,6 +306,8 @@
     Retune(Box<Retune>),
     /// The client has stopped waiting.
     Abandoned(RequestId),
+    /// Nobody waits for it any more, but its outcome is kept: if none of it has been sent on, it is refused, else it goes on.
+    Unwanted(RequestId),
     Returned {
         key: AttemptKey,
         returned: Returned,
--- a/front/src/memory/ledger.rs
+++ b/front/src/memory/ledger.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use crossbeam_channel::{bounded, Receiver, Sender};
-use elmtide::Ms;
+use elmtide::{Ms, RequestId};
 use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher13;
 
@@ -75,10 +75,24 @@
 
 #[derive(Debug)]
 enum State {
-    Running(Vec<Sender<Arc<Answer>>>),
+    Running(Run),
     Done(Arc<Answer>),
 }
 
+/// A run that has not ended: who waits for it, and what the engine knows it as.
+#[derive(Debug, Default)]
+struct Run {
+    waiting: Vec<(u64, Sender<Arc<Answer>>)>,
+    request: Option<RequestId>,
+}
+
+/// A client's place among those that wait for a run.
+#[derive(Debug)]
+pub struct Wait {
+    pub result: Receiver<Arc<Answer>>,
+    place: u64,
+}
+
 #[derive(Debug)]
 struct Entry {
     fingerprint: Fingerprint,
@@ -103,6 +117,8 @@
     /// Ended runs in the order of their ends, and until when each is remembered.
     ended: VecDeque<(Ms, Token, usize)>,
     bytes: usize,
+    /// Places that have been given to those who wait.
+    places: u64,
 }
 
 impl Book {
@@ -134,10 +150,10 @@
 /// What becomes of a request with this key.
 #[derive(Debug)]
 pub enum Entered {
-    /// It is the first: run it, end it with [`Ledger::finish`], and wait for the result here.
-    Run(Receiver<Arc<Answer>>),
+    /// It is the first: run it, say so with [`Ledger::runs`], end it with [`Ledger::finish`], and wait for the result here.
+    Run(Wait),
     /// It is running: wait for the result here.
-    Join(Receiver<Arc<Answer>>),
+    Join(Wait),
     Repeat(Arc<Answer>),
     OtherRequest,
     /// No room, or too soon after a start: nothing has run for it here, but what ran before is not known.
@@ -154,6 +170,7 @@
             entries: HashMap::new(),
             ended: VecDeque::new(),
             bytes: 0,
+            places: 0,
         };
         Ledger { book: Mutex::new(book), life: longest_deadline * LIVES }
     }
@@ -236,7 +253,7 @@
         }
         let count = entries.len();
         let (door, hash_keys) = (Door::Open, sealed.hash_keys);
-        *book = Book { door, hash_keys, entries, ended, bytes };
+        *book = Book { door, hash_keys, entries, ended, bytes, places: 0 };
         Ok(count)
     }
 
@@ -258,30 +275,49 @@
         }
         let open = book.door == Door::Open;
         let (held, bytes) = (book.entries.len(), book.bytes);
-        let (result, wait) = bounded(1);
+        let (to, result) = bounded(1);
+        book.places += 1;
+        let place = book.places;
+        let wait = Wait { result, place };
         match book.entries.get_mut(key) {
             Some(entry) if entry.fingerprint != fingerprint => Entered::OtherRequest,
             Some(Entry { state: State::Done(answer), .. }) => Entered::Repeat(answer.clone()),
-            Some(Entry { state: State::Running(waiting), .. }) if waiting.len() < WAITING => {
-                waiting.push(result);
+            Some(Entry { state: State::Running(run), .. }) if run.waiting.len() < WAITING => {
+                run.waiting.push((place, to));
                 Entered::Join(wait)
             }
             Some(_) => Entered::Refuse,
             None if !open || held >= ENTRIES || bytes >= BYTES => Entered::Refuse,
             None => {
-                let state = State::Running(vec![result]);
+                let state = State::Running(Run { waiting: vec![(place, to)], request: None });
                 book.entries.insert(key.clone(), Entry { fingerprint, state });
                 Entered::Run(wait)
             }
         }
     }
 
+    /// The engine knows the run by this id.
+    pub fn runs(&self, key: &Token, request: RequestId) {
+        if let Some(Entry { state: State::Running(run), .. }) = self.book().entries.get_mut(key) {
+            run.request = Some(request);
+        }
+    }
+
+    /// A client that waits for the run has left. Gives the run's id if nobody waits for it any more: if none of it has been
+    /// sent on by then, it is not to be.
+    pub fn leave(&self, key: &Token, wait: &Wait) -> Option<RequestId> {
+        let mut book = self.book();
+        let State::Running(run) = &mut book.entries.get_mut(key)?.state else { return None };
+        run.waiting.retain(|(place, _)| *place != wait.place);
+        run.request.filter(|_| run.waiting.is_empty())
+    }
+
     /// The run has ended. What was refused never ran, and may be tried anew; what is uncertain has failed for good.
     pub fn finish(&self, key: &Token, answer: Answer, now: Ms) {
         let mut book = self.book();
         let Some(entry) = book.entries.get_mut(key) else { return };
         let answer = Arc::new(answer);
-        let State::Running(waiting) = std::mem::replace(&mut entry.state, State::Done(answer.clone())) else {
+        let State::Running(run) = std::mem::replace(&mut entry.state, State::Done(answer.clone())) else {
             return;
         };
         let size = match &*answer {
@@ -298,7 +334,7 @@
         }
         drop(book);
         // Each channel has room for the one result.
-        waiting.iter().for_each(|w| drop(w.try_send(answer.clone())));
+        run.waiting.iter().for_each(|(_, to)| drop(to.try_send(answer.clone())));
     }
 }
 
@@ -336,11 +372,31 @@
         let Entered::Join(second) = enter(&ledger, 1, "a", 2001.0) else { panic!("joins") };
         assert!(matches!(enter(&ledger, 1, "b", 2002.0), Entered::OtherRequest));
         ledger.finish(&key(1), Answer::Failed, 2100.0);
-        assert_eq!(first.recv().unwrap(), second.recv().unwrap());
+        assert_eq!(first.result.recv().unwrap(), second.result.recv().unwrap());
         assert!(matches!(enter(&ledger, 1, "a", 7900.0), Entered::Repeat(a) if *a == Answer::Failed));
         assert!(matches!(enter(&ledger, 1, "a", 8100.0), Entered::Run(_)), "forgotten after its life");
     }
 
+    /// Who is the last to leave is told what to take back, whether it ran it or joined; nobody else is, and nobody once it
+    /// has ended.
+    #[test]
+    fn the_last_to_leave_has_the_run_taken_back() {
+        let ledger = open();
+        let Entered::Run(first) = enter(&ledger, 1, "a", 2000.0) else { panic!("the first runs it") };
+        assert_eq!(ledger.leave(&key(2), &first), None, "no such key");
+        ledger.runs(&key(1), RequestId(7));
+        let Entered::Join(second) = enter(&ledger, 1, "a", 2001.0) else { panic!("joins") };
+        assert_eq!(ledger.leave(&key(1), &first), None, "another waits");
+        assert_eq!(ledger.leave(&key(1), &first), None, "and goes on waiting");
+        assert_eq!(ledger.leave(&key(1), &second), Some(RequestId(7)));
+        // It is refused, as nothing ran; a client that came in between is told, and the key may be used again.
+        let Entered::Join(third) = enter(&ledger, 1, "a", 2002.0) else { panic!("still running") };
+        ledger.finish(&key(1), Answer::Refused { wait_ms: None }, 2003.0);
+        assert_eq!(*third.result.recv().unwrap(), Answer::Refused { wait_ms: None });
+        assert_eq!(ledger.leave(&key(1), &third), None);
+        assert!(matches!(enter(&ledger, 1, "a", 2004.0), Entered::Run(_)));
+    }
+
     /// What was refused has not run: the next try may.
     #[test]
     fn a_refused_run_leaves_no_entry() {
--- a/front/src/server/http.rs
+++ b/front/src/server/http.rs
@@ -361,7 +361,8 @@
         state.elsewhere(client, &self.site.name).map(|at| (USE, at.to_string()))
     }
 
-    /// A request that must never run twice. It runs once for its key, whether or not this client stays for it.
+    /// A request that must never run twice. It runs once for its key; once it has been sent on, whether or not this client
+    /// stays for it.
     fn write_once(
         &self,
         head: &RequestHead,
@@ -412,14 +413,20 @@
             Entered::Join(result) => result,
             Entered::Run(result) => {
                 let ledger = site.ledger.clone();
-                site.intake.hand_in(
-                    ready,
-                    Responder::new(move |answer| ledger.finish(&key, answer, clock::unix_ms())),
-                );
+                let ended = key.clone();
+                let responder = Responder::new(move |answer| ledger.finish(&ended, answer, clock::unix_ms()));
+                let id = site.intake.hand_in(ready, responder);
+                site.ledger.runs(&key, id);
                 result
             }
         };
-        self.wait(&result, deadline).map(|answer| reply(&answer, false))
+        let answer = self.wait(&result.result, deadline);
+        if answer.is_none() {
+            if let Some(id) = site.ledger.leave(&key, &result) {
+                let _ = site.intake.inputs.send(Input::Unwanted(id));
+            }
+        }
+        answer.map(|answer| reply(&answer, false))
     }
 
     /// Waits for the answer; `None` where the client leaves before. Where the deadline passes it has failed.
