Go by the longest deadline since the start, also one that a reload brought

Found by asking what SIGHUP and SIGTERM cross: serve.rs, drain(), waited for open requests by the longest deadline of the file at the start. A reload that brings a class with a longer one left its requests unanswered at the end of the process, which is a loss. Siblings, by search for longest_deadline: the ledger forgot results that clients of the new class may still repeat (a signup could run twice, from six times the old deadline on), a key changed hands too soon, and the engine told those it refuses the longest wait of the old settings. Change: one value that only rises, raised before the new classes are in force, for drain, ledger and edge; the engine takes its wait from the settings that it takes over. Left by the start's: leases of lost sites and cells' limits (cells refuse reloads of classes).

--- a/front/src/engine/mod.rs
+++ b/front/src/engine/mod.rs
@@ -109,11 +109,16 @@
 const CLASSES: usize = 1024;
 const ROUTERS: usize = 16;
 
+/// The longest wait that may be told to those who are refused.
+fn longest_wait(settings: &Settings) -> Option<u64> {
+    settings.max_retry_after.filter(|_| settings.retry_after).map(|ms| ms as u64)
+}
+
 impl<U: Upstream> Engine<U> {
     pub fn new(settings: Settings, seed: u64, upstream: U, counters: Arc<Counters>) -> Engine<U> {
         let now = clock::unix_ms();
         let mut actions = Vec::new();
-        let wait_ms = settings.max_retry_after.filter(|_| settings.retry_after).map(|ms| ms as u64);
+        let wait_ms = longest_wait(&settings);
         let router = Router::new(settings.clone(), seed, now, &mut actions);
         let alarms = [(SWEEP, Alarm::Sweep), (LOOK, Alarm::Look)];
         let alarms = alarms.map(|(after, alarm)| Reverse((micros(now + after), alarm)));
@@ -208,6 +213,7 @@
             true => self.routers.push(router),
             false => self.routers[place] = router,
         }
+        self.wait_ms = longest_wait(&settings);
         (self.settings, self.class_names, self.current) = (settings, names, place);
         for action in actions {
             self.act(place, action);
--- a/front/src/engine/tests.rs
+++ b/front/src/engine/tests.rs
@@ -639,8 +639,13 @@
     assert_eq!((engine.routers.len(), engine.current), (1, 0));
     let mut other = settings;
     other.classes[0].deadline = 30_000.0;
+    (other.retry_after, other.max_retry_after) = (true, Some(900.0));
     assert_eq!(reload(&mut engine, other, vec![class]), 1);
     assert_eq!((engine.routers.len(), engine.current), (2, 1));
+    assert!(
+        engine.pause(RequestId(1)).is_some_and(|ms| (500..=900).contains(&ms)),
+        "as the new settings say"
+    );
 }
 
 /// A client comes again under the id of its request while that is open: nodes could not tell the two apart. The second fails,
--- a/front/src/lifecycle/edge.rs
+++ b/front/src/lifecycle/edge.rs
@@ -26,6 +26,8 @@
 use crate::edge::serial::{serial_for, Kept};
 use crate::fleet::standing::Watched;
 use crate::memory::counters::Counters;
+use crate::memory::ledger::LIVES;
+use crate::memory::longest::Longest;
 use crate::process::{clock, spawn};
 use crate::server::dns::{DnsSockets, Shared};
 use crate::server::http;
@@ -105,7 +107,7 @@
     site: Arc<http::Site>,
     counters: Arc<Counters>,
     /// How long a key is left alone after it has changed hands, where the file does not say.
-    hand_over: Ms,
+    longest: Longest,
 }
 
 fn random<const N: usize>() -> [u8; N] {
@@ -156,7 +158,7 @@
         counters: Arc<Counters>,
         dns: Arc<Shared>,
         site: http::Site,
-        hand_over: Ms,
+        longest: Longest,
     ) -> Arc<Edge> {
         let live = Live {
             steering: None,
@@ -176,7 +178,7 @@
             dns,
             site: Arc::new(site),
             counters,
-            hand_over,
+            longest,
         })
     }
 
@@ -245,7 +247,7 @@
         let config = Arc::new(to.clone());
         let mut former: Vec<Former> = current.former.iter().filter(|f| f.until > now).cloned().collect();
         if !current.config.is_off() && current.config.front != to.front {
-            let hold = to.hand_over_s.map_or(self.hand_over, |s| s * 1000.0);
+            let hold = to.hand_over_s.map_or(self.longest.ms() * LIVES, |s| s * 1000.0);
             former.push(Former { config: current.config.clone(), until: now + hold });
             if former.len() > FORMERS {
                 return Err("the fronts change too often: keys are still changing hands".into());
--- a/front/src/lifecycle/handover.rs
+++ b/front/src/lifecycle/handover.rs
@@ -257,6 +257,7 @@
     use super::*;
     use crate::exchange::{Answer, Copy, Token};
     use crate::memory::ledger::Entered;
+    use crate::memory::longest::Longest;
 
     struct Folder(PathBuf);
 
@@ -269,7 +270,7 @@
         }
 
         fn run(&self, run: u64) -> (Handover, Ledger) {
-            (Handover::at(&self.0, "n1", Run(run)), Ledger::new([run, 2, 3, 4], 1000.0))
+            (Handover::at(&self.0, "n1", Run(run)), Ledger::new([run, 2, 3, 4], Longest::new(1000.0)))
         }
 
         fn file(&self) -> PathBuf {
@@ -397,7 +398,7 @@
         /// No bytes make it panic or take much memory, and one changed bit is noticed.
         #[test]
         fn no_bytes_mislead_it(bytes in prop::collection::vec(any::<u8>(), 0..200), bit in 0usize..2000) {
-            let (folder, whole) = (Folder::new("bits"), Ledger::new([1, 2, 3, 4], 1000.0));
+            let (folder, whole) = (Folder::new("bits"), Ledger::new([1, 2, 3, 4], Longest::new(1000.0)));
             whole.open();
             sign_up(&whole, 1);
             let mut sealed = encode(&Word::Sealed(Run(1), whole.seal(clock::unix_ms()))).unwrap();
--- a/front/src/lifecycle/reload.rs
+++ b/front/src/lifecycle/reload.rs
@@ -11,6 +11,7 @@
 use crate::exchange::{Class, Input, Retune};
 use crate::lifecycle::config::{Config, Shape};
 use crate::memory::counters::Counters;
+use crate::memory::longest::Longest;
 use crate::server::Intake;
 
 /// What a running front can take over from its file, and what it can't.
@@ -25,6 +26,8 @@
     /// Where the engine is told the new settings, and who takes the new classes.
     pub inputs: Sender<Input>,
     pub intake: Arc<Intake>,
+    /// What must outlast every request goes by it.
+    pub longest: Longest,
 }
 
 impl<R: Fn() -> Result<Config, String>> Reload<R> {
@@ -55,6 +58,7 @@
         if config.listen != self.listen {
             eprintln!("reload: listen is {} from the next start on", config.listen);
         }
+        self.longest.raise(config.longest_deadline);
         let intake = self.intake.clone();
         let done = move |taken: Result<Vec<Class>, String>| match taken {
             Ok(classes) => {
--- a/front/src/lifecycle/serve.rs
+++ b/front/src/lifecycle/serve.rs
@@ -27,7 +27,8 @@
 use crate::lifecycle::{config::Config, control};
 use crate::memory::budget::Budget;
 use crate::memory::counters::Counters;
-use crate::memory::ledger::{Ledger, LIVES};
+use crate::memory::ledger::Ledger;
+use crate::memory::longest::Longest;
 use crate::process::log::Log;
 use crate::process::{clock, spawn};
 use crate::server::clients::Clients;
@@ -99,6 +100,7 @@
     };
     let stopped = start_engine(engine, events)?;
     feed.apply(Ok((config.known, Vec::new())))?;
+    let longest = Longest::new(config.longest_deadline);
     let bus = Arc::new(Whereabouts::new(config.bus));
     let followed = bus.clone();
     spawn("bus", move || feed.follow(&followed)).map_err(|e| format!("bus thread: {e}"))?;
@@ -114,6 +116,7 @@
         shape: config.shape.clone(),
         inputs: inputs.clone(),
         intake: intake.clone(),
+        longest: longest.clone(),
     };
 
     // The usual clients hold a third of the descriptors at most, connections to cache nodes another.
@@ -126,7 +129,7 @@
         names.start().map_err(|e| format!("resolver thread: {e}"))?;
         let shared = dns::Shared { counts: Arc::default(), log: Log::default(), seed: secret() };
         let _ = counters.dns.set(shared.counts.clone());
-        let ledger = Arc::new(Ledger::new([(); 4].map(|()| secret()), config.longest_deadline));
+        let ledger = Arc::new(Ledger::new([(); 4].map(|()| secret()), longest.clone()));
         let handover = Handover::from_env(&config.name, Run(secret()));
         let site = Site {
             name: config.name.clone(),
@@ -138,9 +141,14 @@
             seed: config.seed,
             jobs: AtomicU64::new(1),
         };
-        let hand_over = config.longest_deadline * LIVES;
-        let edge =
-            Edge::new(config.name.clone(), in_force, counters.clone(), Arc::new(shared), site, hand_over);
+        let edge = Edge::new(
+            config.name.clone(),
+            in_force,
+            counters.clone(),
+            Arc::new(shared),
+            site,
+            longest.clone(),
+        );
         edge.watch().map_err(|e| format!("edge thread: {e}"))?;
         let path = second.control.clone().unwrap_or_else(|| control::usual_path(&config.name));
         let cells = CellsInForce::new(inputs.clone(), config.longest_deadline);
@@ -205,7 +213,7 @@
     if let Some(fleet) = &fleet {
         fleet.leave(&inputs);
     }
-    drain(&counters, config.longest_deadline, &stopped)?;
+    drain(&counters, &longest, &stopped)?;
     if let Some((_, ledger, Some(handover), _)) = &running {
         match handover.seal(ledger) {
             Ok(Some(bytes)) => eprintln!("ledger: left to the next process, {bytes} bytes"),
@@ -309,15 +317,16 @@
 }
 
 /// Waits until nothing is open any more, for the longest deadline at most.
-fn drain(counters: &Counters, longest: f64, stopped: &Receiver<()>) -> Result<(), String> {
+fn drain(counters: &Counters, longest: &Longest, stopped: &Receiver<()>) -> Result<(), String> {
     let since = Instant::now();
-    let last = Duration::from_secs_f64(longest / 1000.0 + 0.6);
     let ticks = tick(Duration::from_millis(50));
     loop {
         crossbeam_channel::select! {
             recv(ticks) -> _ => {}
             recv(stopped) -> _ => return Err("the engine has stopped".into()),
         }
+        // A reload may still raise it.
+        let last = Duration::from_secs_f64(longest.ms() / 1000.0 + 0.6);
         let done = since.elapsed() >= STAY && counters.all_answered();
         if done || since.elapsed() >= last {
             return Ok(());
--- a/front/src/memory/ledger.rs
+++ b/front/src/memory/ledger.rs
@@ -11,6 +11,7 @@
 use siphasher::sip::SipHasher13;
 
 use crate::exchange::{Answer, Copy, Token};
+use crate::memory::longest::Longest;
 
 /// Bounds: entries, bytes of the results that are kept, and clients that wait for one run.
 const ENTRIES: usize = 10_000;
@@ -144,7 +145,7 @@
 #[derive(Debug)]
 pub struct Ledger {
     book: Mutex<Book>,
-    life: Ms,
+    longest: Longest,
 }
 
 /// What becomes of a request with this key.
@@ -162,7 +163,7 @@
 
 impl Ledger {
     /// Closed until it is opened or has taken over what ran before. The secret keys its hashes.
-    pub fn new(secret: [u64; 4], longest_deadline: Ms) -> Ledger {
+    pub fn new(secret: [u64; 4], longest: Longest) -> Ledger {
         let [a, b, c, d] = secret;
         let book = Book {
             door: Door::Closed,
@@ -172,7 +173,12 @@
             bytes: 0,
             places: 0,
         };
-        Ledger { book: Mutex::new(book), life: longest_deadline * LIVES }
+        Ledger { book: Mutex::new(book), longest }
+    }
+
+    /// For how long a result is kept.
+    fn life(&self) -> Ms {
+        self.longest.ms() * LIVES
     }
 
     fn book(&self) -> MutexGuard<'_, Book> {
@@ -205,7 +211,7 @@
                 },
                 State::Running(_) => SealedOutcome::Uncertain,
             };
-            let left = until.get(key).map_or(self.life, |until| until - now);
+            let left = until.get(key).map_or(self.life(), |until| until - now);
             SealedEntry { key: key.as_str().to_owned(), fingerprint: entry.fingerprint, left, outcome }
         };
         let mut entries: Vec<SealedEntry> = book.entries.iter().map(entry).collect();
@@ -216,7 +222,7 @@
     /// Goes on with what the process before has sealed, and opens; all of it or nothing. Gives the number of keys.
     pub fn take_over(&self, sealed: Sealed, now: Ms) -> Result<usize, NotUsed> {
         let age = now - sealed.at;
-        if !(0.0..=self.life).contains(&age) {
+        if !(0.0..=self.life()).contains(&age) {
             return Err(NotUsed::Dated);
         }
         if sealed.entries.len() > ENTRIES {
@@ -228,7 +234,7 @@
             let key = Token::new(entry.key.as_bytes()).ok_or(NotUsed::Foreign)?;
             let until = sealed.at + entry.left;
             let ordered = ended.back().is_none_or(|(last, ..): &(Ms, Token, usize)| *last <= until);
-            if !ordered || !(0.0..=self.life).contains(&entry.left) {
+            if !ordered || !(0.0..=self.life()).contains(&entry.left) {
                 return Err(NotUsed::Foreign);
             }
             let (answer, size) = match entry.outcome {
@@ -329,7 +335,7 @@
             None => drop(book.entries.remove(key)),
             Some(size) => {
                 book.bytes += size;
-                book.ended.push_back((now + self.life, key.clone(), size));
+                book.ended.push_back((now + self.life(), key.clone(), size));
             }
         }
         drop(book);
@@ -357,7 +363,7 @@
     }
 
     fn closed(secret: u64) -> Ledger {
-        Ledger::new([secret, 2, 3, 4], 1000.0)
+        Ledger::new([secret, 2, 3, 4], Longest::new(1000.0))
     }
 
     fn served(size: usize) -> Answer {
@@ -397,6 +403,23 @@
         assert!(matches!(enter(&ledger, 1, "a", 2004.0), Entered::Run(_)));
     }
 
+    /// A reload brings a class with a longer deadline: what ends from then on is kept for its clients' repeats too.
+    #[test]
+    fn results_are_kept_for_the_longest_deadline_since_the_start() {
+        let ledger = open();
+        let run = |n, at| assert!(matches!(enter(&ledger, n, "a", at), Entered::Run(_)));
+        run(1, 1000.0);
+        ledger.finish(&key(1), served(1), 1000.0);
+        ledger.longest.raise(4000.0);
+        run(2, 1000.0);
+        ledger.finish(&key(2), served(1), 1000.0);
+        ledger.longest.raise(500.0);
+        assert!(matches!(enter(&ledger, 1, "a", 6999.0), Entered::Repeat(_)));
+        run(1, 7000.0);
+        assert!(matches!(enter(&ledger, 2, "a", 24_999.0), Entered::Repeat(_)));
+        run(2, 25_000.0);
+    }
+
     /// What was refused has not run: the next try may.
     #[test]
     fn a_refused_run_leaves_no_entry() {
--- a/front/src/memory/mod.rs
+++ b/front/src/memory/mod.rs
@@ -7,6 +7,7 @@
 pub mod failing;
 pub mod figures;
 pub mod ledger;
+pub mod longest;
 pub mod members;
 pub mod mode;
 pub mod resolved;
