--- a/front/src/lifecycle/config.rs
+++ b/front/src/lifecycle/config.rs
@@ -167,6 +167,15 @@
     fn a_good_file_is_read_and_covers_its_own_keys() {
         let config = Config::parse(GOOD.as_bytes(), None).unwrap();
         assert_eq!(config.shape.lacks(&config.shape), None);
+        // What is not there may be said by a number as well, and only repeats by key need their window.
+        for odd in [
+            r#""Az":0,"Rules":{"FallMs":-1,"MustAskInMs":null}"#,
+            r#""Az":0,"FamilyInfo":{"ParentRampMs":0}"#,
+        ] {
+            Config::parse(with(r#""Az":0"#, odd).as_bytes(), None).unwrap();
+        }
+        let free = with(r#""Repeat":"free""#, r#""Repeat":"free","MemorySpanMs":0"#);
+        Config::parse(free.as_bytes(), None).unwrap();
     }
 
     #[test]
@@ -182,7 +191,7 @@
             (with(r#""TryLimit":3"#, r#""ConnIdleMs":"9""#), "Limits: ConnIdleMs is \"9\""),
             (with(r#""Az":0"#, r#""Az":1"#), "Az is 1, and there are 1 Zones"),
             (with(r#""Az":0"#, r#""Az":0,"Rules":{"StartCapacity":"a fifth"}"#), "Rules: StartCapacity is"),
-            (with(r#""Az":0"#, r#""Az":0,"FamilyInfo":{"PurgeSlackMs":-1}"#), "PurgeSlackMs is -1"),
+            (with(r#""Az":0"#, r#""Az":0,"FamilyInfo":{"PurgeSlackMs":true}"#), "PurgeSlackMs is true"),
             (with(r#""Repeat":"free""#, r#""Repeat":"freely""#), "Repeat is \"freely\""),
             (
                 with(r#""Repeat":"free""#, r#""Repeat":"guarded","MemorySpanMs":0"#),
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -37,8 +37,8 @@
     read(&root)
 }
 
-/// Figures that safety rests on, by their object: where one is told it is a number that is not negative. `read` takes what is
-/// none for not told, and a start that is not told to be cold would be pushed over.
+/// Figures that safety rests on, by their object: where one is told it is a number (one that is not positive says that there is
+/// no such thing). `read` takes what is none for not told, and a node that is not told to be cold would be pushed over.
 const FIGURES: [(&str, &[&str]); 3] = [
     ("Rules", &["DrainGraceMs", "OverloadFactor", "FallMs", "StartCapacity", "WarmAfterMs", "MustAskInMs"]),
     (
@@ -62,7 +62,7 @@
         for key in keys {
             match &told[part][key] {
                 Value::Null => {}
-                v if v.as_f64().is_some_and(|n| n >= 0.0 && n.is_finite()) => {}
+                v if v.is_number() => {}
                 v => return Err(format!("settings: {part}: {key} is {v}, which is no figure")),
             }
         }
@@ -89,7 +89,7 @@
         let name = name.ok_or("settings: a class has no name")?;
         positive(class, "HardLimitMs", &format!("class {name}:"))?;
         positive(class, "OnTimeMs", &format!("class {name}:"))?;
-        if !class["MemorySpanMs"].is_null() {
+        if class["Repeat"] == "guarded" && !class["MemorySpanMs"].is_null() {
             positive(class, "MemorySpanMs", &format!("class {name}:"))?;
         }
         if classes.iter().filter(|c| c["Name"].as_str() == Some(name)).count() > 1 {
