Reproduce the drain that holds a multiplexed connection, and find its cause

Cause: a paused front closes a connection only when nothing is open on it (Connection::may_go in front/src/server/sockets.rs) and goes on taking requests there (Conversation::complete in front/src/server/fastcgi.rs): a web server that multiplexes is never without an open request, so the drain never ends. Ruled out from the evidence: a pause that is forgotten, a close that hangs, a starved thread, a stepped clock (docs/incidents). Change: no change of the program. A multiplexing web server as a stand-in, checkers of a front's drain over its clients' records with breaches put in on purpose, and three tests on real processes.

--- a/front/tests/common/mod.rs
+++ b/front/tests/common/mod.rs
@@ -5,7 +5,7 @@
 #![allow(dead_code)]
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -148,6 +148,11 @@
         Program { child, log, listeners, folder, listen }
     }
 
+    /// Where the management address is.
+    pub fn management(&self) -> SocketAddr {
+        last_word(&self.log.wait("management: calls are taken at ", 0)).parse().unwrap()
+    }
+
     /// Where the n-th listener of the second front of this kind is.
     pub fn edge(&self, kind: &str, nth: usize) -> SocketAddr {
         last_word(&self.log.wait(&format!("edge: {kind} on "), nth)).parse().unwrap()
@@ -178,3 +183,26 @@
         assert!(status.unwrap().success());
     }
 }
+
+/// The management address answers within this.
+const MANAGEMENT_REPLY_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A front with one cache node `s-1` and a management address, and where that is.
+pub fn start_managed() -> (Program, SocketAddr) {
+    let program = Program::start_env(&["s-1"], None, 1024, &[("LB_MANAGEMENT", "127.0.0.1:0")]);
+    let management = program.management();
+    (program, management)
+}
+
+/// One call at the management address, and its whole reply.
+pub fn call_management(management: SocketAddr, line: &[u8]) -> String {
+    let mut stream = TcpStream::connect(management).unwrap();
+    stream.set_read_timeout(Some(MANAGEMENT_REPLY_TIMEOUT)).unwrap();
+    let written = stream.write_all(line);
+    assert!(written.is_ok(), "{written:?}");
+    let mut reply = Vec::new();
+    let read = stream.read_to_end(&mut reply);
+    let call = line.escape_ascii().to_string();
+    assert!(read.is_ok(), "no whole reply to {call:?} within {MANAGEMENT_REPLY_TIMEOUT:?}: {read:?}");
+    String::from_utf8(reply).unwrap()
+}
--- a/front/tests/management.rs
+++ b/front/tests/management.rs
@@ -7,34 +7,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use common::{last_word, Program, PATIENCE};
+use common::{call_management as call, start_managed as start, Program, PATIENCE};
 use elmtide_standins::node::{Behaviour, Node, Origin};
 use elmtide_standins::{till, until};
 
-/// The spec's bound on a reply; a reply that does not come within it fails the read.
-const REPLY: Duration = Duration::from_secs(1);
-
-fn start() -> (Program, SocketAddr) {
-    let program = Program::start_env(&["s-1"], None, 1024, &[("LB_MANAGEMENT", "127.0.0.1:0")]);
-    let at = last_word(&program.log.wait("management: calls are taken at ", 0)).parse().unwrap();
-    (program, at)
-}
-
-fn call(at: SocketAddr, line: &[u8]) -> String {
-    let mut stream = TcpStream::connect(at).unwrap();
-    stream.set_read_timeout(Some(REPLY)).unwrap();
-    let written = stream.write_all(line);
-    assert!(written.is_ok(), "{written:?}");
-    let mut reply = Vec::new();
-    let read = stream.read_to_end(&mut reply);
-    assert!(
-        read.is_ok(),
-        "no whole reply to {:?} within {REPLY:?}: {read:?}",
-        line.escape_ascii().to_string()
-    );
-    String::from_utf8(reply).unwrap()
-}
-
 /// The platform's readiness question over FastCGI: the status line of `/-/healthy`.
 fn healthy(listen: SocketAddr) -> String {
     let mut stream = TcpStream::connect(listen).unwrap();
--- a/rules/src/lib.rs
+++ b/rules/src/lib.rs
@@ -9,6 +9,7 @@
 
 #![expect(missing_docs, reason = "not documented in full yet: see docs/ROADMAP.md")]
 
+pub mod front_drain;
 pub mod sizes;
 pub mod spends;
 
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod resolver;
 pub mod shopper;
 pub mod till;
+pub mod web_server;
 
 use std::net::{IpAddr, SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
