Bound the drain of a front by time: reject, cut off and release in phases

Ruled out: a forgotten pause, a hanging close, a starved thread, a stepped clock (docs/incidents). The same for a machine that goes out and, with the platform's counted deadline, for SIGTERM. Related paths: the second front's readiness, keep-alive and resting connections follow a pause, name answers leave a paused front out, refusals go ahead of large answers. The golden line of the counters gains four names at its end, the old ones stay where they were.

--- a/front/src/engine/admission.rs
+++ b/front/src/engine/admission.rs
@@ -10,8 +10,6 @@
 use crate::exchange::{Answer, AttemptKey, Incoming, Upstream};
 use crate::process::part;
 
-/// For so long after SIGTERM requests are still taken; what comes later must not be left unanswered by a kill.
-const ADMISSION_AFTER_SHUTDOWN_MS: Ms = 550.0;
 /// By this part of its time a request has been written whole to some node, or it is refused: told early that nothing
 /// has run, a client can still do something about it.
 const UNSENT_DEADLINE_FRACTION: f64 = 0.45;
@@ -20,15 +18,35 @@
 /// After this long past a deadline the engine answers by itself, whatever the module does.
 const DEADLINE_BACKSTOP_MS: Ms = 15.0;
 
+/// Why a request is rejected as soon as it has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Rejection {
+    /// The front drains: paused, ending, or its machine goes out.
+    Draining,
+    /// As many requests are open as may be.
+    TooManyOpen,
+    /// Its shop's part of the fleet's budget is spent.
+    ShopBudget,
+}
+
+impl Rejection {
+    /// The name of the reason in logs.
+    fn name(self) -> &'static str {
+        match self {
+            Rejection::Draining => "draining",
+            Rejection::TooManyOpen => "too_many_open",
+            Rejection::ShopBudget => "shop_budget",
+        }
+    }
+}
+
 impl<U: Upstream> Engine<U> {
     pub(super) fn admit(&mut self, incoming: Incoming) {
         self.counters.taken.fetch_add(1, Relaxed);
-        let late = self.draining_since.is_some_and(|since| self.now - since > ADMISSION_AFTER_SHUTDOWN_MS);
+        let Some(incoming) = self.admit_in_drain(incoming) else { return };
         let left = incoming.deadline - self.now;
-        if late || self.exchanges.is_full() {
-            self.counters.refused.fetch_add(1, Relaxed);
-            let wait_ms = self.retry_after(incoming.id);
-            return incoming.responder.answer(Answer::Refused { wait_ms });
+        if self.exchanges.is_full() {
+            return self.reject_on_arrival(incoming, Rejection::TooManyOpen);
         }
         let request = Request {
             id: incoming.id,
@@ -43,9 +61,7 @@
         let (deadline, shop, once) = (incoming.deadline, incoming.shop, incoming.passed.once);
         let priority = priority_if(once);
         if self.budgets.as_mut().is_some_and(|b| !b.admit_shop_request(request.id, shop, priority)) {
-            self.counters.refused.fetch_add(1, Relaxed);
-            let wait_ms = self.retry_after(request.id);
-            return incoming.responder.answer(Answer::Refused { wait_ms });
+            return self.reject_on_arrival(incoming, Rejection::ShopBudget);
         }
         let pace = self.settings.pace;
         let work = incoming.size_kb.zip(pace).map(|(kb, pace)| kb / pace * 1000.0);
@@ -114,6 +130,22 @@
         self.apply_cell_decisions();
     }
 
+    /// Rejects a request of which nothing is held yet, at once.
+    pub(super) fn reject_on_arrival(&self, incoming: Incoming, why: Rejection) {
+        let Incoming { id, passed, responder, .. } = incoming;
+        let wait_ms = self.retry_after(id);
+        tracing::debug!(
+            request = id.0,
+            job = passed.job.as_str(),
+            class = &*passed.class_name,
+            why = why.name(),
+            wait_ms,
+            "request: rejected on arrival"
+        );
+        self.counters.refused.fetch_add(1, Relaxed);
+        responder.answer(Answer::Refused { wait_ms });
+    }
+
     /// When to come back, told to one whom the engine refuses by itself.
     pub(super) fn retry_after(&self, id: RequestId) -> Option<u64> {
         let spread =
--- a/front/src/engine/endpoints.rs
+++ b/front/src/engine/endpoints.rs
@@ -7,6 +7,7 @@
 
 use super::{cells, Engine, MAX_REMEMBERED_PURGES};
 use crate::exchange::{MembersNews, Upstream};
+use crate::process::clock;
 
 impl<U: Upstream> Engine<U> {
     /// A list of the bus. What the resolver found is applied again where the bus may have overruled it.
@@ -72,7 +73,7 @@
         let goes = maintenance.goes();
         if goes != self.sent_away {
             self.sent_away = goes;
-            self.counters.mode.machine_goes(goes);
+            self.counters.mode.machine_goes(goes, clock::uptime());
             let word = if goes { "goes: clients are sent away" } else { "stays" };
             eprintln!("work: this front's machine {word}");
         }
--- a/front/src/engine/mod.rs
+++ b/front/src/engine/mod.rs
@@ -12,6 +12,7 @@
 mod attempts;
 pub mod budget_client;
 mod cells;
+mod drain;
 mod endpoint_set;
 mod endpoints;
 mod fleet_report;
@@ -58,7 +59,6 @@
     actions: Vec<Action>,
     counters: Arc<Counters>,
     wait_ms: Option<u64>,
-    draining_since: Option<Ms>,
     now: Ms,
     /// The router that new requests go to while there are no cells.
     current: usize,
@@ -121,7 +121,6 @@
             actions,
             counters,
             wait_ms,
-            draining_since: None,
             now,
             current: 0,
             purges: VecDeque::new(),
@@ -210,7 +209,6 @@
             Input::Cells(layout) => self.reconfigure_cells(layout),
             Input::UndoMove(shop) => self.undo_move(shop),
             Input::Fleet(update) => self.apply_fleet_update(update),
-            Input::Drain => self.draining_since = self.draining_since.or(Some(self.now)),
             Input::Stop => {}
         }
         self.finish_ended_attempts();
--- a/front/src/engine/timers.rs
+++ b/front/src/engine/timers.rs
@@ -102,6 +102,7 @@
             }
             Timer::ConnectionCheck => {
                 self.upstream.look();
+                self.cut_off_open_requests();
                 self.timers.schedule(self.now + CONNECTION_CHECK_INTERVAL_MS, Timer::ConnectionCheck);
             }
             Timer::Sweep => self.sweep(),
--- a/front/src/exchange.rs
+++ b/front/src/exchange.rs
@@ -320,7 +320,5 @@
     UndoMove(ShopId),
     /// News of budgets that belong to all fronts.
     Fleet(FleetUpdate),
-    /// Finish what is open, refuse what comes late.
-    Drain,
     Stop,
 }
--- a/front/src/fleet/config.rs
+++ b/front/src/fleet/config.rs
@@ -12,6 +12,7 @@
 use crate::fleet::config_error::{FleetConfigError, KeyError};
 use crate::fleet::config_limits::{MAX_FILE_BYTES, MAX_KEY_FILE_BYTES, MIN_KEY_BYTES};
 use crate::fleet::site_directory::{SiteEntry, SitesEntry};
+use crate::process::log::LogForm;
 
 /// Where the file is, if nothing else is said.
 pub const FILE: &str = "deploy/fleet.toml";
@@ -159,14 +160,6 @@
     1.0
 }
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum LogForm {
-    #[default]
-    Text,
-    Json,
-}
-
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct FrontEntry {
--- a/front/src/fleet/mod.rs
+++ b/front/src/fleet/mod.rs
@@ -27,13 +27,3 @@
 pub mod status_view;
 
 pub use start::{start, FleetStart, Started};
-
-/// Events of the fleet go to standard error, as text or as JSON.
-pub fn log(form: config::LogForm) {
-    let base = tracing_subscriber::fmt().with_writer(std::io::stderr).with_target(false).with_ansi(false);
-    // Whoever has set a subscriber already keeps it.
-    let _ = match form {
-        config::LogForm::Text => base.try_init(),
-        config::LogForm::Json => base.json().try_init(),
-    };
-}
--- a/front/src/lifecycle/edge.rs
+++ b/front/src/lifecycle/edge.rs
@@ -28,6 +28,7 @@
 use crate::memory::counters::Counters;
 use crate::memory::ledger::LIVES;
 use crate::memory::longest::Longest;
+use crate::memory::mode::State as ProcessState;
 use crate::process::{clock, spawn};
 use crate::server::dns::{DnsSockets, Shared};
 use crate::server::http;
@@ -467,7 +468,10 @@
         let drains = config.front.iter().any(|f| f.name == self.name && f.state == FrontState::Draining);
         let shed = self.shed(live, now);
         let leaves = live.ending || drains || self.counters.mode.is_leaving();
-        live.own = match (leaves, self.counters.ready.load(Relaxed)) {
+        // An operator's pause takes a front out of the answers as long as another is left.
+        let is_paused = self.counters.mode.state() == ProcessState::Paused;
+        let is_ready = self.counters.ready.load(Relaxed) && !is_paused;
+        live.own = match (leaves, is_ready) {
             (true, _) => Condition::Draining,
             (false, false) => Condition::NotReady,
             (false, true) => Condition::Serving { shed },
--- a/front/src/lifecycle/serve.rs
+++ b/front/src/lifecycle/serve.rs
@@ -24,7 +24,7 @@
 use crate::memory::budget::Budget;
 use crate::memory::counters::Counters;
 use crate::memory::longest::Longest;
-use crate::process::{random_secret, spawn};
+use crate::process::{clock, log, random_secret, spawn};
 use crate::server::clients::Clients;
 use crate::server::management::Management;
 use crate::server::sockets::Sockets;
@@ -95,7 +95,7 @@
 
     // The usual clients hold a third of the descriptors at most, connections to cache nodes another.
     let clients = Clients::new(config.sockets / 2);
-    clients.watch().map_err(|e| format!("watch thread: {e}"))?;
+    clients.watch(&counters).map_err(|e| format!("watch thread: {e}"))?;
     let second_front = if second.file.exists() {
         let process = SecondFrontContext {
             config: &config,
@@ -113,7 +113,7 @@
         Sockets::new(listener, origin, clients, intake).map_err(|e| format!("epoll: {e}"))?;
     start_clients(sockets, inputs.clone())?;
     counters.ready.store(true, Relaxed);
-    counters.mode.serves();
+    counters.mode.serves(clock::uptime());
     eprintln!("ready: {} listens on {at} ({origin:?}), pid {}", config.name, std::process::id());
 
     let terms = start_signals(signals, counters.clone(), reload)?;
@@ -121,12 +121,11 @@
         recv(terms) -> _ => {}
         recv(stopped) -> _ => return Err("the engine has stopped".into()),
     }
-    counters.mode.end();
+    counters.mode.end(clock::uptime(), longest.span());
     eprintln!("draining: {} requests are open", counters.figures.in_flight());
     if let Some(second_front) = &second_front {
         second_front.end(origin);
     }
-    let _ = inputs.send(Input::Drain);
     if let Some(fleet) = &fleet {
         fleet.leave(&inputs);
     }
@@ -188,10 +187,11 @@
     counters: &Arc<Counters>,
 ) -> Result<Option<fleet::Started>, String> {
     if !file.exists() {
+        log::init(log::LogForm::default());
         return Ok(None);
     }
     let read = FleetConfig::load(file).map_err(|error| error.to_string())?;
-    fleet::log(read.log);
+    log::init(read.log);
     let start = FleetStart {
         config: &read,
         name: &config.name,
--- a/front/src/lifecycle/shutdown.rs
+++ b/front/src/lifecycle/shutdown.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{tick, Receiver};
+use elmtide_drain::DrainSchedule;
 
 use crate::memory::counters::Counters;
 use crate::memory::longest::Longest;
@@ -13,10 +14,8 @@
 pub const CLIENT_CLOSE_TIMEOUT: Duration = Duration::from_millis(400);
 /// How often it is checked whether all is answered.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// The process ends at most so long after the longest deadline, in seconds.
-const GRACE_SECONDS: f64 = 0.6;
 
-/// Waits until nothing is open any more, for the longest deadline at most.
+/// Waits until nothing is open any more, up to the end of the drain at most: the platform kills soon after it.
 pub fn wait_until_answered(
     counters: &Counters,
     longest: &Longest,
@@ -30,7 +29,7 @@
             recv(stopped) -> _ => return Err("the engine has stopped".into()),
         }
         // A reload may still raise it.
-        let last = Duration::from_secs_f64(longest.ms() / 1000.0 + GRACE_SECONDS);
+        let last = DrainSchedule::shutdown(longest.span()).release_after;
         let done = since.elapsed() >= MIN_SHUTDOWN && counters.all_answered();
         if done || since.elapsed() >= last {
             return Ok(());
--- a/front/src/memory/counters.rs
+++ b/front/src/memory/counters.rs
@@ -24,6 +24,12 @@
     pub broken_clients: AtomicU64,
     /// Sent to another front, since this one has drained.
     pub sent_away: AtomicU64,
+    /// Requests rejected since the front drains, open ones answered at the cut-off of a drain, and partial ones rejected then.
+    pub drain_rejected: AtomicU64,
+    pub drain_cut_off: AtomicU64,
+    pub drain_partial_rejected: AtomicU64,
+    /// Client connections closed by a drain.
+    pub drain_closed: AtomicU64,
     pub served: AtomicU64,
     pub refused: AtomicU64,
     pub failed: AtomicU64,
@@ -102,6 +108,16 @@
         for (name, value) in self.dns.get().into_iter().flat_map(|dns| dns.named()) {
             write!(f, " {name}={value}")?;
         }
+        // Behind the older ones, whose places scripts may count on.
+        let of_drains = [
+            ("drain_rejected", &self.drain_rejected),
+            ("drain_cut_off", &self.drain_cut_off),
+            ("drain_partial_rejected", &self.drain_partial_rejected),
+            ("drain_closed", &self.drain_closed),
+        ];
+        for (name, value) in of_drains {
+            write!(f, " {name}={}", value.load(Relaxed))?;
+        }
         Ok(())
     }
 }
--- a/front/src/memory/exchanges.rs
+++ b/front/src/memory/exchanges.rs
@@ -175,6 +175,14 @@
         self.open.values().any(|e| e.is_open_at(member))
     }
 
+    /// The requests that have no answer yet, in the order in which they came.
+    pub fn unanswered_ids(&self) -> Vec<RequestId> {
+        let open = self.open.iter().filter(|(_, exchange)| !exchange.is_answered());
+        let mut ids: Vec<RequestId> = open.map(|(id, _)| *id).collect();
+        ids.sort_unstable_by_key(|id| id.0);
+        ids
+    }
+
     pub fn unanswered(&self) -> usize {
         self.open.values().filter(|e| !e.is_answered()).count()
     }
--- a/front/src/memory/longest.rs
+++ b/front/src/memory/longest.rs
@@ -4,6 +4,7 @@
 
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::Arc;
+use std::time::Duration;
 
 use elmtide::Ms;
 
@@ -23,6 +24,11 @@
         self.0.fetch_max((deadline.max(0.0) * 1000.0).ceil() as u64, Relaxed);
     }
 
+    /// The same as a span.
+    pub fn span(&self) -> Duration {
+        Duration::from_micros(self.0.load(Relaxed))
+    }
+
     pub fn ms(&self) -> Ms {
         self.0.load(Relaxed) as f64 / 1000.0
     }
--- a/front/src/memory/mode.rs
+++ b/front/src/memory/mode.rs
@@ -1,9 +1,19 @@
-//! Whether this process takes clients: the one state that readiness, the management address and the client thread
-//! read. It goes from starting to serving once; an operator pauses and resumes; SIGTERM ends it for good. Beside that its machine may
-//! go out for work: an operator's pause is not undone by its coming back, nor the other way round.
-
-use std::sync::atomic::{AtomicBool, AtomicU8, Ordering::Relaxed};
-
+//! Whether this process takes clients: the one state that readiness, the management address, the engine and the client thread
+//! read. It goes from starting to serving once; an operator pauses and resumes; SIGTERM ends it for good. Beside that its machine
+//! may go out for maintenance: an operator's pause is not undone by its coming back, nor the other way round.
+//!
+//! A pause, a machine that goes and the end of the process are all a drain: when it began is part of the state, so that how long
+//! clients are held is bounded by time. Moments are those of `process::clock::uptime`, which no step of the wall clock moves.
+
+use std::sync::atomic::{
+    AtomicBool, AtomicU64,
+    Ordering::{AcqRel, Acquire, Relaxed},
+};
+use std::time::Duration;
+
+use elmtide_drain::{DrainPhase, DrainSchedule};
+
+/// What the process is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
     Starting,
@@ -14,60 +24,90 @@
     Ending,
 }
 
+/// The low bits of the state word say which state it is, the others since when, in microseconds of the uptime.
+const STATE_BITS: u32 = 2;
+const STATE_MASK: u64 = (1 << STATE_BITS) - 1;
+
+/// A state and the moment at which it was entered, in one word: both are always read together.
+fn pack(state: State, since: Duration) -> u64 {
+    (micros(since) << STATE_BITS) | state as u64
+}
+
+fn unpack(word: u64) -> (State, Duration) {
+    let state = match word & STATE_MASK {
+        0 => State::Starting,
+        1 => State::Serving,
+        2 => State::Paused,
+        _ => State::Ending,
+    };
+    (state, Duration::from_micros(word >> STATE_BITS))
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX >> STATE_BITS)
+}
+
+/// The state of the process, shared by its threads.
 #[derive(Debug, Default)]
 pub struct Mode {
-    state: AtomicU8,
-    /// This front's machine goes out for work.
-    goes: AtomicBool,
+    state: AtomicU64,
+    /// Since when this front's machine goes out for maintenance, in microseconds of the uptime; 0 while it does not.
+    machine_out_since: AtomicU64,
+    /// The longest deadline of a class when the process was told to end, in microseconds.
+    longest_deadline: AtomicU64,
     /// All that was open at the end has been answered.
     finishing: AtomicBool,
 }
 
 impl Mode {
     pub fn state(&self) -> State {
-        match self.state.load(Relaxed) {
-            0 => State::Starting,
-            1 => State::Serving,
-            2 => State::Paused,
-            _ => State::Ending,
-        }
+        unpack(self.state.load(Acquire)).0
     }
 
-    fn set(&self, state: State) {
-        self.state.store(state as u8, Relaxed);
+    /// Enters a state from one of these; false where the state is another.
+    fn enter(&self, from: State, to: State, now: Duration) -> bool {
+        let change = |word| (unpack(word).0 == from).then(|| pack(to, now));
+        self.state.fetch_update(AcqRel, Acquire, change).is_ok()
     }
 
     /// The process can serve.
-    pub fn serves(&self) {
-        let _ = self.state.compare_exchange(State::Starting as u8, State::Serving as u8, Relaxed, Relaxed);
+    pub fn serves(&self, now: Duration) {
+        self.enter(State::Starting, State::Serving, now);
     }
 
-    /// False where there is nothing to pause: still starting, or ending.
-    pub fn pause(&self) -> bool {
-        let from = State::Serving as u8;
-        let paused = self.state.compare_exchange(from, State::Paused as u8, Relaxed, Relaxed);
-        paused.is_ok() || self.state() == State::Paused
+    /// False where there is nothing to pause: still starting, or ending. A second pause does not begin the drain anew.
+    pub fn pause(&self, now: Duration) -> bool {
+        self.enter(State::Serving, State::Paused, now) || self.state() == State::Paused
     }
 
     /// False where the process is ending or not yet serving.
-    pub fn resume(&self) -> bool {
-        let from = State::Paused as u8;
-        let resumed = self.state.compare_exchange(from, State::Serving as u8, Relaxed, Relaxed);
-        resumed.is_ok() || self.state() == State::Serving
+    pub fn resume(&self, now: Duration) -> bool {
+        self.enter(State::Paused, State::Serving, now) || self.state() == State::Serving
     }
 
-    /// Whether this front's machine goes out for work.
-    pub fn machine_goes(&self, goes: bool) {
-        self.goes.store(goes, Relaxed);
+    /// Whether this front's machine goes out for maintenance.
+    pub fn machine_goes(&self, goes: bool, now: Duration) {
+        if !goes {
+            return self.machine_out_since.store(0, Relaxed);
+        }
+        let keep_first = |since| (since == 0).then(|| micros(now).max(1));
+        let _ = self.machine_out_since.fetch_update(Relaxed, Relaxed, keep_first);
     }
 
     /// By plan, its own or its machine's: no name answer names it, not even where nobody else is left.
     pub fn is_leaving(&self) -> bool {
-        self.goes.load(Relaxed) || self.state() == State::Ending
+        self.machine_goes_out() || self.state() == State::Ending
     }
 
-    pub fn end(&self) {
-        self.set(State::Ending);
+    fn machine_goes_out(&self) -> bool {
+        self.machine_out_since.load(Relaxed) != 0
+    }
+
+    /// The process is told to end; its classes have this longest deadline.
+    pub fn end(&self, now: Duration, longest_deadline: Duration) {
+        self.longest_deadline.store(micros(longest_deadline), Relaxed);
+        let first = |word| (unpack(word).0 != State::Ending).then(|| pack(State::Ending, now));
+        let _ = self.state.fetch_update(AcqRel, Acquire, first);
     }
 
     /// Ending, with all that was open answered: what still comes is answered too, then all connections are closed.
@@ -81,45 +121,47 @@
 
     /// Whether readiness says yes.
     pub fn is_ready(&self) -> bool {
-        self.state() == State::Serving && !self.goes.load(Relaxed)
+        self.state() == State::Serving && !self.machine_goes_out()
     }
 
     /// Connections are closed as soon as nothing is open on them.
     pub fn sends_away(&self) -> bool {
-        matches!(self.state(), State::Paused | State::Ending) || self.goes.load(Relaxed)
+        matches!(self.state(), State::Paused | State::Ending) || self.machine_goes_out()
     }
-}
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_machine_that_comes_back_does_not_undo_an_operators_pause() {
-        let mode = Mode::default();
-        mode.serves();
-        mode.machine_goes(true);
-        assert!(!mode.is_ready() && mode.sends_away() && mode.is_leaving());
-        assert!(mode.pause());
-        mode.machine_goes(false);
-        assert!(!mode.is_ready() && mode.sends_away() && !mode.is_leaving());
-        assert!(mode.resume() && mode.is_ready());
-        mode.machine_goes(true);
-        assert!(mode.resume() && !mode.is_ready(), "nor does an operator bring a machine back");
-    }
-
-    #[test]
-    fn pause_and_resume_only_while_serving_and_ending_is_for_good() {
-        let mode = Mode::default();
-        assert!(!mode.pause() && !mode.is_ready());
-        mode.serves();
-        assert!(mode.is_ready() && !mode.sends_away());
-        assert!(mode.pause() && mode.pause());
-        assert!(!mode.is_ready() && mode.sends_away());
-        mode.serves();
-        assert_eq!(mode.state(), State::Paused, "a start does not undo a pause");
-        assert!(mode.resume() && mode.is_ready());
-        mode.end();
-        assert!(!mode.resume() && !mode.pause() && mode.sends_away());
+    /// How far the drain has come; of several the one that has come furthest.
+    pub fn drain_phase(&self, now: Duration) -> DrainPhase {
+        self.drains(now)
+            .map(|(schedule, elapsed)| schedule.phase(Some(elapsed)))
+            .max()
+            .unwrap_or(DrainPhase::NotDraining)
+    }
+
+    /// The time left until open requests are cut off by a drain.
+    pub fn time_until_cut_off(&self, now: Duration) -> Option<Duration> {
+        self.drains(now).map(|(schedule, elapsed)| schedule.time_until_cut_off(elapsed)).min()
+    }
+
+    /// The drains that are under way, each with the time since it began.
+    fn drains(&self, now: Duration) -> impl Iterator<Item = (DrainSchedule, Duration)> {
+        let (state, since) = unpack(self.state.load(Acquire));
+        let by_state = match state {
+            State::Starting | State::Serving => None,
+            State::Paused => Some(DrainSchedule::RELEASE_CLIENTS),
+            State::Ending => {
+                let longest = Duration::from_micros(self.longest_deadline.load(Relaxed));
+                Some(DrainSchedule::shutdown(longest))
+            }
+        };
+        let machine = self.machine_out_since.load(Relaxed);
+        let by_machine = (machine != 0).then(|| Duration::from_micros(machine));
+        let elapsed = move |since: Duration| now.saturating_sub(since);
+        by_state
+            .map(|schedule| (schedule, elapsed(since)))
+            .into_iter()
+            .chain(by_machine.map(|since| (DrainSchedule::RELEASE_CLIENTS, elapsed(since))))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/front/src/process/clock.rs
+++ b/front/src/process/clock.rs
@@ -10,11 +10,22 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |since| since.as_secs_f64() * 1000.0)
 }
 
+/// The uptime is this long when it is asked for first: a moment before it can still be told.
+const FIRST_UPTIME: Duration = Duration::from_secs(1000);
+
+fn origin() -> Instant {
+    static ORIGIN: OnceLock<Instant> = OnceLock::new();
+    *ORIGIN.get_or_init(Instant::now)
+}
+
+/// The monotonic clock of this process, which no step of the wall clock moves.
+pub fn uptime() -> Duration {
+    FIRST_UPTIME + origin().elapsed()
+}
+
 /// Both clocks at one moment. The steady one counts from the first time that it is asked for, and from well above naught.
 pub fn both() -> Clocks {
-    static ORIGIN: OnceLock<Instant> = OnceLock::new();
-    const ABOVE: u64 = 1_000_000_000;
-    let origin = *ORIGIN.get_or_init(Instant::now);
+    let origin = origin();
     let mut tries = 0;
     loop {
         let before = Instant::now();
@@ -23,7 +34,7 @@
         tries += 1;
         // A thread that lost its processor between the two would see them apart.
         if after - before < Duration::from_millis(1) || tries >= 4 {
-            let steady = ABOVE + (before - origin).as_micros() as u64;
+            let steady = (FIRST_UPTIME + (before - origin)).as_micros() as u64;
             return Clocks { monotonic: steady, wall: wall.as_micros() as u64 };
         }
     }
--- a/front/src/server/clients.rs
+++ b/front/src/server/clients.rs
@@ -9,8 +9,10 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use elmtide_drain::{ConnectionAction, ConnectionActivity, DrainPhase};
+
 use crate::memory::counters::{Counters, Unwritten};
-use crate::process::spawn;
+use crate::process::{clock, spawn};
 
 /// A request is whole within so long of its first byte, and the first of a connection of its start.
 pub const REQUEST: Duration = Duration::from_millis(2200);
@@ -27,10 +29,20 @@
 /// Connections that are closed already, but whose threads have not ended yet, over those allowed.
 const ENDING: usize = 32;
 
+/// What a client speaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Protocol {
+    /// The thread of the sockets looks at each connection by itself.
+    FastCgi,
+    /// Each connection has a thread, which waits for its client: it is released by the watch.
+    Http,
+}
+
 /// What one connection is doing.
 #[derive(Debug)]
 pub struct Client {
     stream: Arc<TcpStream>,
+    protocol: Protocol,
     address: IpAddr,
     table: Arc<Table>,
     /// Has brought a request that could be used.
@@ -71,6 +83,23 @@
         self.take_by.store(0, Relaxed);
     }
 
+    /// A drain in this phase closes the connection, as far as that is for the watch to do.
+    fn is_released(&self, phase: DrainPhase) -> bool {
+        let heard = self.heard.load(Relaxed);
+        let begun = heard && self.bring_by.load(Relaxed) > 0;
+        let activity = ConnectionActivity {
+            owes_answer: self.open.load(Relaxed) > 0,
+            partial_requests: usize::from(begun),
+            has_partial_input: false,
+            has_unread_input: self.has_unread(),
+            has_brought_request: heard,
+        };
+        let is_closed = self.closed.load(Relaxed);
+        self.protocol == Protocol::Http
+            && !is_closed
+            && phase.connection_action(activity) == ConnectionAction::Close
+    }
+
     fn shut(&self) {
         let _ = self.stream.shutdown(Shutdown::Both);
     }
@@ -223,7 +252,7 @@
 
     /// Takes a connection in; `None` where there is no room and none can be made. Closing it costs as little as
     /// can be: no thread has been started, and nothing is logged for it alone.
-    pub fn admit(&self, stream: TcpStream) -> Option<Admitted> {
+    pub fn admit(&self, stream: TcpStream, protocol: Protocol) -> Option<Admitted> {
         let table = &self.0;
         let address = stream.peer_addr().map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |a| a.ip());
         let mut book = table.book();
@@ -243,6 +272,7 @@
         let now = Instant::now();
         let client = Arc::new(Client {
             stream: Arc::new(stream),
+            protocol,
             address,
             table: table.clone(),
             heard: AtomicBool::new(false),
@@ -260,11 +290,12 @@
         Some(Admitted { client, place })
     }
 
-    /// Closes what is overdue, for good.
-    pub fn watch(&self) -> io::Result<()> {
-        let table = self.0.clone();
+    /// Closes what is overdue, for good, and what a drain releases.
+    pub fn watch(&self, counters: &Arc<Counters>) -> io::Result<()> {
+        let (table, counters) = (self.0.clone(), counters.clone());
         let watch = move || loop {
             std::thread::sleep(LOOK);
+            let phase = counters.mode.drain_phase(clock::uptime());
             let now = table.millis(Instant::now());
             let past = |due: &AtomicU64| (1..now).contains(&due.load(Relaxed));
             let idle = now.saturating_sub(IDLE.as_millis() as u64);
@@ -273,7 +304,12 @@
             for client in table.book().clients.values() {
                 let open = client.open.load(Relaxed) > 0;
                 let rests = !open && client.heard.load(Relaxed) && client.idle_since.load(Relaxed) < idle;
-                if past(&client.take_by)
+                let released = phase.is_draining() && client.is_released(phase);
+                if released {
+                    counters.drain_closed.fetch_add(1, Relaxed);
+                }
+                if released
+                    || past(&client.take_by)
                     || (!open && (past(&client.bring_by) || (rests && !client.has_unread())))
                 {
                     client.closed.store(true, Relaxed);
--- a/front/src/server/fastcgi.rs
+++ b/front/src/server/fastcgi.rs
@@ -8,9 +8,11 @@
 use std::time::Instant;
 
 use elmtide::RequestId;
+use elmtide_drain::ConnectionActivity;
 
 use crate::exchange::{Answer, Input, Responder};
 use crate::memory::budget::Held;
+use crate::memory::mode::Mode;
 use crate::process::clock;
 use crate::server::clients::{Client, NotTaken, Owed};
 use crate::server::mailbox::{Delivery, Mailbox};
@@ -169,30 +171,51 @@
             return;
         }
         if let Some(open) = self.open.remove(&delivery.slot) {
-            let bytes = answer(delivery);
-            self.out.push_back(Chunk { bytes, last: !open.keep, _owed: Some(open.owed) });
+            let chunk = Chunk { bytes: answer(delivery), last: !open.keep, _owed: Some(open.owed) };
+            match delivery.answer {
+                Answer::Refused { .. } if open.keep => self.send_ahead(chunk),
+                _ => self.out.push_back(chunk),
+            }
         }
     }
 
-    /// The process sends clients away: paused or ending.
-    pub fn sends_away(&self) -> bool {
-        self.intake.counters.mode.sends_away()
+    /// What the connection is doing, as far as it decides on its end in a drain.
+    pub fn activity(&self) -> ConnectionActivity {
+        ConnectionActivity {
+            owes_answer: self.owes(),
+            partial_requests: self.half.len(),
+            has_partial_input: !self.input.is_empty(),
+            has_unread_input: self.client.has_unread(),
+            // When the process is about to end, connections are closed whatever they have brought so far.
+            has_brought_request: self.brought || self.mode().is_finishing(),
+        }
     }
 
-    /// The process is about to end: connections are closed whatever they have brought so far.
-    pub fn finishes(&self) -> bool {
-        self.intake.counters.mode.is_finishing()
+    /// The state of the process.
+    pub fn mode(&self) -> &Mode {
+        &self.intake.counters.mode
     }
 
-    /// Nothing is open, coming in or begun on this connection.
-    pub fn is_idle(&self) -> bool {
-        self.open.is_empty() && self.half.is_empty() && self.input.is_empty()
+    /// Requests that are open on the connection.
+    pub fn open_requests(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Rejects every request of which a part has come; the rest of it is dropped unseen.
+    pub fn reject_partial_requests(&mut self) {
+        let partial = std::mem::take(&mut self.half);
+        self.intake.counters.drain_partial_rejected.fetch_add(partial.len() as u64, Relaxed);
+        for (id, half) in partial {
+            self.end(half.keep, |out| fastcgi::end_request(out, id, 0, ProtocolStatus::Overloaded));
+        }
+        self.client.brings(self.begun);
     }
 
-    /// Has brought a request and has nothing open now: a client sent away has had its answers. One that has
-    /// brought nothing yet may be one that came just before readiness said no, and is served first.
-    pub fn is_done(&self) -> bool {
-        (self.brought || self.finishes()) && self.is_idle()
+    /// Puts an answer ahead of those that have not begun to be written: a client that takes large answers in slowly is told of
+    /// a rejection at once all the same.
+    fn send_ahead(&mut self, chunk: Chunk) {
+        let after_the_begun_one = self.out.len().min(1);
+        self.out.insert(after_the_begun_one, chunk);
     }
 
     fn say(&mut self, put: impl FnOnce(&mut Vec<u8>)) {
--- a/front/src/server/http.rs
+++ b/front/src/server/http.rs
@@ -17,7 +17,7 @@
 use crate::memory::budget::Held;
 use crate::memory::ledger::{Entered, Ledger};
 use crate::process::{clock, spawn};
-use crate::server::clients::{Client, Clients, NotTaken, REQUEST};
+use crate::server::clients::{Client, Clients, NotTaken, Protocol, REQUEST};
 use crate::server::{Field, Fields, Intake, Ready};
 use crate::wire::http::{self, Body, RequestHead};
 
@@ -68,7 +68,7 @@
             std::thread::sleep(Duration::from_millis(10));
             continue;
         };
-        let Some(admitted) = site.clients.admit(stream) else { continue };
+        let Some(admitted) = site.clients.admit(stream, Protocol::Http) else { continue };
         let (site, stop) = (site.clone(), stop.clone());
         let served = spawn("http-client", move || {
             let client = &admitted.client;
@@ -111,10 +111,11 @@
         while !self.stop.load(Relaxed) {
             match self.read_request() {
                 Ok(Some((head, body))) => {
-                    let keep = head.keep;
                     self.client.heard();
+                    let opened = self.client.open(&self.site.intake.counters);
+                    // Only now: until then it is a request that has come in part, and its connection is not at rest.
                     self.client.brings(None);
-                    let owed = match self.client.open(&self.site.intake.counters) {
+                    let owed = match opened {
                         Ok(owed) => owed,
                         Err(NotTaken::Closed) => return,
                         Err(NotTaken::TooMany) => {
@@ -127,6 +128,7 @@
                         }
                     };
                     let Some(reply) = self.answer(&head, body) else { return };
+                    let keep = head.keep && !self.site.intake.counters.mode.sends_away();
                     let written = self.send(&reply, keep, head.method == "HEAD");
                     drop(owed);
                     if !written {
@@ -196,7 +198,11 @@
         let head = loop {
             let until = match self.bytes.is_empty() {
                 true => since + IDLE,
-                false => *begun.get_or_insert_with(Instant::now) + WHOLE,
+                false => {
+                    let begun = *begun.get_or_insert_with(Instant::now);
+                    self.client.brings(Some(begun));
+                    begun + WHOLE
+                }
             };
             match http::request_head(&self.bytes) {
                 Ok(Some(head)) => break head,
@@ -243,7 +249,10 @@
         let came = clock::unix_ms();
         let path = head.path.split('?').next().unwrap_or("");
         match path {
-            "/-/healthy" => return Some(Response::text(200, "ok")),
+            "/-/healthy" if self.site.intake.counters.mode.is_ready() => {
+                return Some(Response::text(200, "ok"))
+            }
+            "/-/healthy" => return Some(Response::text(503, "no")),
             "/-/counters" => return Some(Response::text(200, self.site.intake.counters.to_string())),
             _ => {}
         }
@@ -316,7 +325,7 @@
             return None;
         };
         let mut reply = reply(&answer, conditional);
-        if matches!(*answer, Answer::Refused { .. }) && state.clings_until.is_some() {
+        if matches!(*answer, Answer::Refused { .. }) && self.sends_elsewhere(&state) {
             reply.headers.extend(self.elsewhere(&state));
         }
         Some(reply)
@@ -358,6 +367,11 @@
         }
     }
 
+    /// The front drains, by its file or by an operator's word: those whom it refuses are told of another one.
+    fn sends_elsewhere(&self, state: &State) -> bool {
+        state.clings_until.is_some() || self.site.intake.counters.mode.sends_away()
+    }
+
     fn elsewhere(&self, state: &State) -> Option<(&'static str, String)> {
         let client = self.client.stream().peer_addr().ok()?.ip();
         state.elsewhere(client, &self.site.name).map(|at| (USE, at.to_string()))
--- a/front/src/server/management.rs
+++ b/front/src/server/management.rs
@@ -18,7 +18,7 @@
 
 use crate::memory::counters::Counters;
 use crate::memory::mode::State;
-use crate::process::spawn;
+use crate::process::{clock, spawn};
 use crate::wire::management::{self, Call, LONGEST};
 
 /// Callers at a time.
@@ -151,12 +151,12 @@
         Call::Status => format!("200 no: {:?}\r\n", mode.state()).to_lowercase(),
         // The figures are the reply: one JSON line, then the line that ends them.
         Call::Metrics => format!("{}\r\nEOF\r\n", counters.figures.render()),
-        Call::Pause if mode.pause() => {
+        Call::Pause if mode.pause(clock::uptime()) => {
             eprintln!("management: paused; clients are sent away");
             "200 paused\r\n".into()
         }
         Call::Pause => "400 nothing to pause: the process is starting or ending\r\n".into(),
-        Call::Resume if mode.resume() => {
+        Call::Resume if mode.resume(clock::uptime()) => {
             eprintln!("management: resumed; clients are taken again");
             "200 resumed\r\n".into()
         }
--- a/front/src/server/mod.rs
+++ b/front/src/server/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod clients;
 pub mod dns;
+pub mod drain_report;
 pub mod fastcgi;
 pub mod http;
 pub mod mailbox;
--- a/front/src/server/sockets.rs
+++ b/front/src/server/sockets.rs
@@ -15,14 +15,17 @@
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{bounded, Receiver, Sender};
+use elmtide_drain::{ConnectionAction, DrainPhase};
 use rustix::buffer::spare_capacity;
 use rustix::event::epoll::{self, EventData, EventFlags};
 use rustix::event::Timespec;
 
 use crate::lifecycle::listener::Origin;
 use crate::memory::mode::{Mode, State};
+use crate::process::clock;
 
-use crate::server::clients::{Admitted, Clients};
+use crate::server::clients::{Admitted, Clients, Protocol};
+use crate::server::drain_report::DrainReport;
 use crate::server::fastcgi::{Broken, Conversation};
 use crate::server::mailbox::{Delivery, Mailbox};
 use crate::server::Intake;
@@ -152,7 +155,7 @@
                 self.written = 0;
                 // A client sent away has had its last answer once nothing else is open or owed: decided as the
                 // answer goes out, not when it was queued, since more may have come meanwhile.
-                if last || self.may_go() {
+                if last || self.drain_action() == ConnectionAction::Close {
                     return Err(End::Done);
                 }
             }
@@ -163,11 +166,17 @@
         }
     }
 
-    /// A client that is sent away has had all its answers, and nothing lies unread that it has asked since.
-    fn may_go(&self) -> bool {
-        let conversation = &self.conversation;
-        let done = conversation.sends_away() && conversation.is_done() && conversation.out.is_empty();
-        done && !self.admitted.client.has_unread()
+    /// What the drain wants done with the connection now.
+    fn drain_action(&self) -> ConnectionAction {
+        if !self.mode().sends_away() {
+            return ConnectionAction::Keep;
+        }
+        let phase = self.mode().drain_phase(clock::uptime());
+        phase.connection_action(self.conversation.activity())
+    }
+
+    fn mode(&self) -> &Mode {
+        self.conversation.mode()
     }
 
     /// What the connection waits for now, if that has changed.
@@ -196,6 +205,7 @@
     mailbox: Mailbox,
     deliveries: Receiver<Delivery>,
     finished: Sender<()>,
+    drain_report: DrainReport,
 }
 
 /// How the end of the program reaches the thread of the sockets.
@@ -241,6 +251,7 @@
             mailbox,
             deliveries,
             finished,
+            drain_report: DrainReport::default(),
         };
         Ok((sockets, finish))
     }
@@ -279,7 +290,7 @@
                 connection.flush()
             });
         }
-        self.send_away();
+        self.drain_connections();
         let now = Instant::now();
         self.lingering.retain(|_, l| now < l.until);
         self.finish();
@@ -315,24 +326,44 @@
         self.lingering.insert(id, lingering);
     }
 
-    /// Paused or ending, idle connections are closed; ending on a listener that the next process shares too, no
-    /// connection is taken any more: those that wait are the next process's.
-    fn send_away(&mut self) {
+    /// Paused or ending, connections are released as the drain wants it; ending on a listener that the next process shares
+    /// too, no connection is taken any more: those that wait are the next process's.
+    fn drain_connections(&mut self) {
         let mode = &self.intake.counters.mode;
-        if !mode.sends_away() {
+        let phase = mode.drain_phase(clock::uptime());
+        let connections = self.connections.values();
+        let held = connections.map(|c| (c.conversation.open_requests(), c.conversation.owes()));
+        self.drain_report.observe(phase, held);
+        if !phase.is_draining() {
             return;
         }
         if self.accepting && self.origin == Origin::Inherited && mode.state() == State::Ending {
             self.accepting = epoll::delete(&self.epoll, &self.listener).is_err();
         }
-        let idle = self.connections.iter().filter(|(_, c)| c.may_go()).map(|(id, _)| *id);
-        for id in idle.collect::<Vec<_>>() {
-            if let Some(connection) = self.connections.remove(&id) {
-                self.linger(id, connection);
+        let actions =
+            self.connections.iter().map(|(id, c)| (*id, phase.connection_action(c.conversation.activity())));
+        for (id, action) in
+            actions.filter(|(_, action)| *action != ConnectionAction::Keep).collect::<Vec<_>>()
+        {
+            match action {
+                ConnectionAction::Keep => {}
+                ConnectionAction::RejectPartialRequests => self.turn(id, |connection| {
+                    connection.conversation.reject_partial_requests();
+                    connection.flush()
+                }),
+                ConnectionAction::Close => self.close_drained(id, phase),
             }
         }
     }
 
+    fn close_drained(&mut self, id: u64, phase: DrainPhase) {
+        if let Some(connection) = self.connections.remove(&id) {
+            tracing::debug!(connection = id, phase = phase.name(), "drain: connection closed");
+            self.intake.counters.drain_closed.fetch_add(1, Relaxed);
+            self.linger(id, connection);
+        }
+    }
+
     /// Lets a connection do something. An end, and a panic, is its own and nobody else's.
     fn turn(&mut self, id: u64, act: impl FnOnce(&mut Connection) -> Result<(), End>) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
@@ -378,7 +409,7 @@
                     return;
                 }
             };
-            let Some(admitted) = self.clients.admit(stream) else { continue };
+            let Some(admitted) = self.clients.admit(stream, Protocol::FastCgi) else { continue };
             self.intake.counters.client_connections.fetch_add(1, Relaxed);
             if let Err(why) = self.take_in(admitted) {
                 self.intake.log.say(|| format!("accept: {why}"));
--- a/front/src/server/sockets/tests.rs
+++ b/front/src/server/sockets/tests.rs
@@ -3,6 +3,7 @@
 
 use crossbeam_channel::unbounded;
 use elmtide::ClassId;
+use elmtide_drain::DrainSchedule;
 
 use super::*;
 use crate::exchange::{Answer, Class, Copy, Input, Responder};
@@ -49,7 +50,7 @@
             deadline: 900.0,
         };
         let intake = Arc::new(Intake::new(vec![class], Budget::new(1 << 20), to, counters.clone()));
-        counters.mode.serves();
+        counters.mode.serves(clock::uptime());
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let (sockets, finish) =
             Sockets::new(listener, Origin::Bound, Clients::new(200), intake).expect("sockets");
@@ -138,8 +139,8 @@
     let second = request("00000000000000a2", true);
     client.write_all(&second).unwrap();
     front.unread(second.len());
-    front.mode().end();
-    front.sockets.send_away();
+    front.mode().end(clock::uptime(), Duration::from_millis(900));
+    front.sockets.drain_connections();
     front.taken().answer(Answer::Failed);
     front.until(|front| front.sockets.connections.is_empty().then_some(()));
     assert!(answered(&mut client).contains("502"));
@@ -154,7 +155,7 @@
     client.write_all(&request("00000000000000a2", true)).unwrap();
     let first = front.taken();
     let next = request("00000000000000a3", true);
-    front.mode().end();
+    front.mode().end(clock::uptime(), Duration::from_millis(900));
     client.write_all(&next).unwrap();
     front.unread(next.len());
     first.answer(Answer::Failed);
@@ -268,7 +269,7 @@
     let mut front = Front::start();
     let mut late = front.connect();
     late.write_all(&request("00000000000000a1", true)).unwrap();
-    front.mode().end();
+    front.mode().end(clock::uptime(), Duration::from_millis(900));
     front.mode().finish();
     front.sockets.finish();
     assert!(front.finish.finished.try_recv().is_err(), "one waits to be accepted");
@@ -287,7 +288,7 @@
     let mut front = Front::start();
     let mut rests = front.connect();
     front.until(|front| (!front.sockets.connections.is_empty()).then_some(()));
-    front.mode().end();
+    front.mode().end(clock::uptime(), Duration::from_millis(900));
     front.turn();
     assert_eq!(front.sockets.connections.len(), 1, "it may have come just before readiness said no");
     front.mode().finish();
@@ -358,3 +359,149 @@
         (front.sockets.connections.is_empty() && front.sockets.lingering.is_empty()).then_some(())
     });
 }
+
+/// How long the front has been draining.
+fn drain_for(front: &Front, elapsed: Duration) {
+    assert!(front.mode().pause(clock::uptime() - elapsed));
+}
+
+const SCHEDULE: DrainSchedule = DrainSchedule::RELEASE_CLIENTS;
+
+/// A request that lies unread when new ones are rejected is still read, and has its answer before the connection is closed.
+#[test]
+fn a_request_unread_when_the_drain_rejects_is_answered_before_the_close() {
+    let mut front = Front::start();
+    let mut client = front.resting();
+    let second = request("00000000000000a2", true);
+    client.write_all(&second).unwrap();
+    front.unread(second.len());
+    drain_for(&front, SCHEDULE.reject_after);
+    front.sockets.drain_connections();
+    assert_eq!(front.sockets.connections.len(), 1, "not closed over what lies unread");
+    front.taken().answer(Answer::Refused { wait_ms: Some(7) });
+    front.until(|front| front.sockets.connections.is_empty().then_some(()));
+    assert!(answered(&mut client).contains("X-Wait-Ms: 7"));
+    assert_eq!(client.read(&mut [0]).unwrap(), 0, "and then it is closed");
+}
+
+/// A new connection has its first request served as long as requests are admitted, and is closed unasked afterwards.
+#[test]
+fn a_connection_that_has_brought_nothing_is_closed_once_requests_are_rejected() {
+    let mut front = Front::start();
+    let mut client = front.connect();
+    front.until(|front| (front.sockets.connections.len() == 1).then_some(()));
+    drain_for(&front, Duration::ZERO);
+    front.turn();
+    assert_eq!(front.sockets.connections.len(), 1, "its first request may be on its way");
+    assert!(front.mode().resume(clock::uptime()));
+    drain_for(&front, SCHEDULE.reject_after);
+    front.turn();
+    assert_eq!(client.read(&mut [0]).unwrap(), 0);
+}
+
+/// At the cut-off a half-sent request is rejected by the protocol's status, the rest of it is dropped, and the connection ends
+/// without a reset.
+#[test]
+fn a_half_sent_request_is_rejected_at_the_cut_off() {
+    let mut front = Front::start();
+    let mut client = front.resting();
+    let whole = request("00000000000000a2", true);
+    let (begun, rest) = whole.split_at(whole.len() - 12);
+    client.write_all(begun).unwrap();
+    front.until(|front| {
+        front
+            .sockets
+            .connections
+            .values()
+            .any(|c| c.conversation.activity().partial_requests == 1)
+            .then_some(())
+    });
+    drain_for(&front, SCHEDULE.reject_after);
+    front.turn();
+    assert_eq!(front.sockets.connections.len(), 1, "the rest may come");
+    assert!(front.mode().resume(clock::uptime()));
+    drain_for(&front, SCHEDULE.cut_off_after);
+    front.until(|front| front.sockets.connections.is_empty().then_some(()));
+    client.write_all(rest).unwrap();
+    front.turn();
+    let mut end = [0; 16];
+    client.read_exact(&mut end).expect("an answer, not a reset");
+    const PROTOCOL_STATUS: usize = 12;
+    assert_eq!((end[1], end[PROTOCOL_STATUS]), (3, 2), "END_REQUEST, overloaded");
+    assert_eq!(client.read(&mut [0]).expect("an end, not a reset"), 0);
+    let taken = front.inputs.try_iter().filter(|i| matches!(i, Input::Taken(_))).count();
+    assert_eq!(taken, 0);
+}
+
+/// A client that begins one request after the other is released in the end, whatever it brings.
+#[test]
+fn a_client_that_never_ends_what_it_begins_is_released() {
+    let mut front = Front::start();
+    let mut client = front.resting();
+    let whole = request("00000000000000a2", true);
+    client.write_all(&whole[..20]).unwrap();
+    front.until(|front| {
+        front
+            .sockets
+            .connections
+            .values()
+            .any(|c| {
+                !c.conversation.activity().has_unread_input && c.conversation.activity().has_partial_input
+            })
+            .then_some(())
+    });
+    drain_for(&front, SCHEDULE.cut_off_after);
+    front.turn();
+    client.write_all(&[1]).unwrap();
+    front.turn();
+    assert!(front.mode().resume(clock::uptime()));
+    drain_for(&front, SCHEDULE.release_after);
+    front.turn();
+    assert!(front.sockets.connections.is_empty());
+}
+
+/// A client takes a large answer in slowly: the rejection of its next request goes ahead of the answers that wait.
+#[test]
+fn a_rejection_goes_ahead_of_answers_that_have_not_begun_to_be_written() {
+    let mut front = Front::start();
+    let mut client = front.connect();
+    let ids = [1u8, 2, 3];
+    for id in ids {
+        let mut bytes = request(&format!("00000000000000a{id}"), true);
+        number_records(&mut bytes, id);
+        client.write_all(&bytes).unwrap();
+    }
+    let (first, second, third) = (front.taken(), front.taken(), front.taken());
+    let copy = || Answer::Served(Copy { bytes: vec![7; 8_000_000], digest: None, client_has_it: false });
+    first.answer(copy());
+    second.answer(copy());
+    third.answer(Answer::Refused { wait_ms: None });
+    front.until(|front| front.sockets.deliveries.is_empty().then_some(()));
+    let ends = read_ends(client);
+    let order: Vec<u8> = ids.iter().map(|_| front.until(|_| ends.try_recv().ok())).collect();
+    assert_eq!(order, [1, 3, 2]);
+}
+
+/// Gives all records of a request this number.
+fn number_records(bytes: &mut [u8], id: u8) {
+    let mut at = 0;
+    while at < bytes.len() {
+        bytes[at + 3] = id;
+        at += 8 + usize::from(u16::from_be_bytes([bytes[at + 4], bytes[at + 5]]));
+    }
+}
+
+/// Reads on a thread of its own; the numbers of the requests in the order in which they end.
+fn read_ends(mut client: TcpStream) -> Receiver<u8> {
+    let (to, ends) = unbounded();
+    std::thread::spawn(move || {
+        let mut head = [0; 8];
+        while client.read_exact(&mut head).is_ok() {
+            let rest = usize::from(u16::from_be_bytes([head[4], head[5]])) + usize::from(head[6]);
+            if client.read_exact(&mut vec![0; rest]).is_err() || (head[1] == 3 && to.send(head[3]).is_err()) {
+                return;
+            }
+        }
+    });
+    ends
+}
