Live by a steady time line that no step of the wall clock moves

Cause: the engine, its timers, deadlines and the module's time read the wall clock (clock::unix_ms, 28 calls); set back by an hour, every timer was an hour away and every request was refused or failed. The engine's refusal to let its own time go back made it last. Change: clock::steady_ms is the Unix time of the start plus the monotonic clock; purges, which others stamp, are aged by whichever clock says less, so never taken for older than they are. A preloaded library of our own (fault-shim) steps the clock of a process under test and makes its calls fail, as a file says.

--- a/front/src/client/bus.rs
+++ b/front/src/client/bus.rs
@@ -129,7 +129,7 @@
             self.last = number;
         }
         self.last = self.last.max(batch.offset);
-        self.counters.bus_heard.store(clock::unix_ms() as u64, Relaxed);
+        self.counters.bus_heard.store(clock::steady_ms() as u64, Relaxed);
         Ok(true)
     }
 
--- a/front/src/client/pool.rs
+++ b/front/src/client/pool.rs
@@ -140,7 +140,7 @@
             replay: passed.unique.as_ref().map(Token::as_str),
             body: &passed.body,
         };
-        let left = |by: Ms| Duration::from_secs_f64(((by - clock::unix_ms()) / 1000.0).clamp(0.0, 3600.0));
+        let left = |by: Ms| Duration::from_secs_f64(((by - clock::steady_ms()) / 1000.0).clamp(0.0, 3600.0));
         let opening = Opening {
             tag: &passed.job,
             purpose: Purpose::Attempt(order.key),
--- a/front/src/client/resolver.rs
+++ b/front/src/client/resolver.rs
@@ -88,7 +88,7 @@
     fn turn(&mut self) {
         let state = self.in_force.now();
         self.take_over(&state);
-        let now = clock::unix_ms();
+        let now = clock::steady_ms();
         self.resolver.tick(now);
         for name in &mut self.followed {
             name.follow.tick(&mut self.resolver, now);
@@ -106,7 +106,7 @@
         let servers = state.config.resolvers();
         if servers != self.servers {
             self.resolver =
-                Resolver::new(&servers, Limits::default(), self.seed ^ clock::unix_ms().to_bits());
+                Resolver::new(&servers, Limits::default(), self.seed ^ clock::steady_ms().to_bits());
             self.servers = servers;
             self.sockets.clear();
             self.followed.iter_mut().for_each(|n| n.follow.servers_changed());
@@ -198,7 +198,7 @@
         let _ = poll(&mut fds, Some(&timeout));
         let ready: Vec<bool> = fds.iter().map(|fd| !fd.revents().is_empty()).collect();
         drop(fds);
-        let now = clock::unix_ms();
+        let now = clock::steady_ms();
         let mut bytes = vec![0; 4096];
         for ask in asks.into_iter().zip(ready).filter(|(_, ready)| *ready).map(|(ask, _)| ask) {
             // A few at a time: who floods one socket must not keep the others waiting.
--- a/front/src/engine/drain/tests.rs
+++ b/front/src/engine/drain/tests.rs
@@ -119,7 +119,7 @@
             group: PurgeGroup(0),
             size_kb: None,
             shop: ShopId::of(""),
-            deadline: clock::unix_ms() + allow_ms,
+            deadline: clock::steady_ms() + allow_ms,
             passed: Arc::new(passed),
             responder: Responder::new(move |answer| drop(to.send(answer))),
         }));
@@ -143,7 +143,7 @@
     let mut scene = Scene::start(Repeat::Safe, true);
     let elapsed = Duration::from_millis(300);
     scene.drain_for(elapsed);
-    let before = clock::unix_ms();
+    let before = clock::steady_ms();
     let (id, answers) = scene.ask(LONG_DEADLINE_MS);
     assert!(answers.try_recv().is_err(), "it is admitted");
     let left = scene.engine.exchanges.get(id).unwrap().deadline - before;
--- a/front/src/engine/endpoints.rs
+++ b/front/src/engine/endpoints.rs
@@ -27,8 +27,9 @@
         if self.purges.len() >= MAX_REMEMBERED_PURGES {
             self.purges.pop_front();
         }
-        self.purges.push_back((object, group, at));
-        let ago = (self.now - at).max(0.0);
+        // On the engine's own time line from here on: who stamped it goes by another clock.
+        let ago = clock::age_of(at);
+        self.purges.push_back((object, group, self.now - ago));
         self.dispatch_to_all(&Event::Purged { object, group, ago });
     }
 
--- a/front/src/engine/mod.rs
+++ b/front/src/engine/mod.rs
@@ -96,7 +96,7 @@
 
 impl<U: Upstream> Engine<U> {
     pub fn new(settings: Settings, seed: u64, upstream: U, counters: Arc<Counters>) -> Engine<U> {
-        let now = clock::unix_ms();
+        let now = clock::steady_ms();
         let mut actions = Vec::new();
         let wait_ms = longest_wait(&settings);
         let router = Router::new(settings.clone(), seed, now, &mut actions);
@@ -155,7 +155,7 @@
     /// Runs until it is told to stop.
     pub fn run(mut self, inputs: &Receiver<Input>) {
         loop {
-            let wait = self.timers.time_until_next(clock::unix_ms());
+            let wait = self.timers.time_until_next(clock::steady_ms());
             match inputs.recv_deadline(Instant::now() + wait) {
                 Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => return,
                 Ok(input) => self.handle(input),
@@ -165,14 +165,14 @@
         }
     }
 
-    /// The clock may be set back, the module's time may not.
+    /// The module's time never goes back.
     fn update_clock(&mut self) {
         let Some(budgets) = &mut self.budgets else {
-            self.now = clock::unix_ms().max(self.now);
+            self.now = clock::steady_ms().max(self.now);
             return;
         };
         let now = clock::both();
-        self.now = (now.wall as f64 / 1000.0).max(self.now);
+        self.now = clock::steady_ms().max(self.now);
         budgets.set_time(now);
         if let Some(maintenance) = &mut self.maintenance {
             maintenance.at(now);
--- a/front/src/engine/tests.rs
+++ b/front/src/engine/tests.rs
@@ -56,7 +56,7 @@
     inputs.send(Input::Listed { from: ListSource::Bus, news: MembersNews::default(), event }).unwrap();
     let (to, answer) = bounded(1);
     let to = Mutex::new(to);
-    let sent = clock::unix_ms();
+    let sent = clock::steady_ms();
     let word = |text: &str| crate::exchange::Token::new(text.as_bytes()).unwrap();
     let incoming = Incoming {
         id: RequestId(1),
@@ -80,7 +80,7 @@
             _held: Budget::new(0).held(),
             tally: Arc::default(),
         }),
-        responder: Responder::new(move |a| to.lock().unwrap().send((a, clock::unix_ms())).unwrap()),
+        responder: Responder::new(move |a| to.lock().unwrap().send((a, clock::steady_ms())).unwrap()),
     };
     inputs.send(Input::Taken(incoming)).unwrap();
     let engine = Engine::new(settings, seed, Silent(written), Arc::default());
@@ -200,7 +200,7 @@
     let members = vec![named(MemberId(1), "s-1"), named(MemberId(2), "o-1")];
     let news = MembersNews { full: true, members };
     engine.handle(Input::Listed { from: ListSource::Bus, news, event });
-    let now = clock::unix_ms();
+    let now = clock::steady_ms();
     engine.handle(Input::Purged { object: Some(ObjectId(7)), group: PurgeGroup(0), at: now });
     let a =
         Class { name: "a".into(), id: ClassId(0), write: false, once: false, keyed: false, deadline: 2000.0 };
@@ -216,7 +216,7 @@
             group: PurgeGroup(1),
             size_kb: None,
             shop: elmtide_cells::ShopId::of(""),
-            deadline: clock::unix_ms() + 2000.0,
+            deadline: clock::steady_ms() + 2000.0,
             passed: Arc::new(Passed {
                 job: word(&format!("{id:016x}")),
                 class_name: "a".into(),
@@ -341,7 +341,7 @@
         group: PurgeGroup(0),
         size_kb: None,
         shop: elmtide_cells::ShopId::of(""),
-        deadline: clock::unix_ms() + allow,
+        deadline: clock::steady_ms() + allow,
         passed: Arc::new(Passed {
             job: word(&format!("{id:016x}")),
             class_name: "a".into(),
@@ -449,7 +449,7 @@
 fn a_repeat_of_what_may_have_run_says_by_when_it_must_be_written() {
     let way = Waiting::default();
     let (mut engine, answers) = engine_with(&way, Repeat::Keyed, true);
-    let before = clock::unix_ms();
+    let before = clock::steady_ms();
     engine.handle(request(1, 60_000.0, &answers));
     let Happened::Sent(key, _) = way.happened()[0] else { panic!("{:?}", way.happened()) };
     engine.handle(Input::Returned { key, returned: Returned::Broke(Progress::Whole) });
--- a/front/src/fleet/site_failover.rs
+++ b/front/src/fleet/site_failover.rs
@@ -217,7 +217,7 @@
         let excluded = self.fronts_of(&view.lost());
         let lease = self.config.lease;
         let lease_ms = lease.safe_expiry(lease.duration) as f64 / MICROS_PER_MS;
-        let now = clock::unix_ms();
+        let now = clock::steady_ms();
         let until = now + lease_ms + self.config.key_lifetime;
         match before {
             None => ownership.begin(excluded, view.is_untouched(), now, until),
--- a/front/src/fleet/start.rs
+++ b/front/src/fleet/start.rs
@@ -136,7 +136,7 @@
 fn open_store(config: &FleetConfig) -> Result<(Option<Store>, RecoveredState), StartError> {
     let Some(path) = &config.store else {
         // Without a store only the clock tells incarnations apart; a clock that went back makes this one that the others reject.
-        let incarnation = clock::unix_ms() as u64;
+        let incarnation = clock::steady_ms() as u64;
         return Ok((None, RecoveredState { incarnation, ..RecoveredState::default() }));
     };
     let (store, recovered) = Store::open(path, &config.installation)
--- a/front/src/lifecycle/edge.rs
+++ b/front/src/lifecycle/edge.rs
@@ -166,7 +166,7 @@
             peers: None,
             notifier: None,
             kept: None,
-            secret: SecretSource::Own { since: clock::unix_ms() },
+            secret: SecretSource::Own { since: clock::steady_ms() },
             ending: false,
             counted: Vec::new(),
             own: Condition::NotReady,
@@ -243,7 +243,7 @@
 
     /// Everything of the next state that can go wrong.
     fn prepare(&self, live: &Live, to: &EdgeConfig) -> Result<Next, String> {
-        let now = clock::unix_ms();
+        let now = clock::steady_ms();
         let current = self.in_force.now();
         let config = Arc::new(to.clone());
         let mut former: Vec<Former> = current.former.iter().filter(|f| f.until > now).cloned().collect();
@@ -376,8 +376,10 @@
         (live.kept, live.steering, live.peers, live.notifier) =
             (next.kept, next.steering, next.peers, next.notifier);
         match (next.file, &live.secret) {
-            (Some(changed), _) => live.secret = SecretSource::File { changed, looked: clock::unix_ms() },
-            (None, SecretSource::File { .. }) => live.secret = SecretSource::Own { since: clock::unix_ms() },
+            (Some(changed), _) => live.secret = SecretSource::File { changed, looked: clock::steady_ms() },
+            (None, SecretSource::File { .. }) => {
+                live.secret = SecretSource::Own { since: clock::steady_ms() }
+            }
             (None, SecretSource::Own { .. }) => {}
         }
         if let Some(served) = &next.state.served {
@@ -426,7 +428,7 @@
     pub fn end(&self) {
         let mut live = self.live();
         live.ending = true;
-        self.refresh(&mut live, clock::unix_ms());
+        self.refresh(&mut live, clock::steady_ms());
     }
 
     /// Gives all addresses up: those who are on a connection are answered, nobody new is taken.
@@ -436,7 +438,7 @@
     }
 
     fn look(&self, sockets: &Sockets) {
-        let now = clock::unix_ms();
+        let now = clock::steady_ms();
         let mut live = self.live();
         if live.steering.is_none() {
             return;
--- a/front/src/lifecycle/handover.rs
+++ b/front/src/lifecycle/handover.rs
@@ -170,7 +170,7 @@
             Ok(Word::Sealed(of, sealed)) => {
                 // Nobody after us may take this seal: it will not know of what we run.
                 self.put(&open)?;
-                match ledger.take_over(sealed, clock::unix_ms()) {
+                match ledger.take_over(sealed, clock::steady_ms()) {
                     Ok(keys) => return Ok(Some(Opened::TakenOver(keys))),
                     Err(why) => eprintln!("ledger: what run {:x} left is not used: {why:?}", of.0),
                 }
@@ -194,7 +194,7 @@
     /// Ends the taking of signups and leaves what the ledger knows. Gives the number of bytes; `None` where another process
     /// has taken over meanwhile.
     pub fn seal(&self, ledger: &Ledger) -> io::Result<Option<usize>> {
-        let sealed = ledger.seal(clock::unix_ms());
+        let sealed = ledger.seal(clock::steady_ms());
         let until = Instant::now() + SEAL_FOR;
         let _locked = loop {
             match self.lock()? {
@@ -302,13 +302,13 @@
     }
 
     fn sign_up(ledger: &Ledger, n: u64) {
-        assert!(matches!(ledger.enter(&key(n), ledger.print(&"a"), clock::unix_ms()), Entered::Run(_)));
+        assert!(matches!(ledger.enter(&key(n), ledger.print(&"a"), clock::steady_ms()), Entered::Run(_)));
         let copy = Copy { bytes: vec![b'x'; 64], digest: None, client_has_it: false };
-        ledger.finish(&key(n), Answer::Served(copy), clock::unix_ms());
+        ledger.finish(&key(n), Answer::Served(copy), clock::steady_ms());
     }
 
     fn repeats(ledger: &Ledger, n: u64) -> bool {
-        matches!(ledger.enter(&key(n), ledger.print(&"a"), clock::unix_ms()), Entered::Repeat(_))
+        matches!(ledger.enter(&key(n), ledger.print(&"a"), clock::steady_ms()), Entered::Repeat(_))
     }
 
     #[test]
@@ -401,7 +401,7 @@
             let (folder, whole) = (Folder::new("bits"), Ledger::new([1, 2, 3, 4], Longest::new(1000.0)));
             whole.open();
             sign_up(&whole, 1);
-            let mut sealed = encode(&Word::Sealed(Run(1), whole.seal(clock::unix_ms()))).unwrap();
+            let mut sealed = encode(&Word::Sealed(Run(1), whole.seal(clock::steady_ms()))).unwrap();
             prop_assert!(decode(&sealed).is_some());
             let bit = bit % (sealed.len() * 8);
             sealed[bit / 8] ^= 1 << (bit % 8);
--- a/front/src/process/clock.rs
+++ b/front/src/process/clock.rs
@@ -1,4 +1,10 @@
-//! The system's Unix clock, which all times of the protocol are read from.
+//! The clocks of the process.
+//!
+//! Deadlines, windows, waits and ages are spans of real time: everything inside lives by [`steady_ms`], which runs with the
+//! monotonic clock and counts from the Unix time of the start, so that what the platform tells in Unix milliseconds can be
+//! compared with it. A step of the wall clock after the start does not move it. The wall clock itself is asked for only where a
+//! moment that somebody else has stamped is taken in ([`age_of`]), and where leases need both clocks ([`both`]). What a step does in
+//! each place is in `docs/design/time.md`.
 
 use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -6,26 +12,48 @@
 use elmtide::Ms;
 use elmtide_budgets::Clocks;
 
-pub fn unix_ms() -> Ms {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |since| since.as_secs_f64() * 1000.0)
+/// Milliseconds on the time line of this process: the Unix time of its start, and the monotonic clock since then.
+pub fn steady_ms() -> Ms {
+    let (origin, started_at) = origin();
+    started_at + millis(origin.elapsed())
+}
+
+/// How long ago something was stamped with this Unix time in milliseconds, by whichever of the two clocks says less: where
+/// either has been stepped, what is stamped is taken for newer than it is and never for older.
+pub fn age_of(stamp: Ms) -> Ms {
+    youngest_age(stamp, steady_ms(), wall_ms())
+}
+
+fn youngest_age(stamp: Ms, steady: Ms, wall: Ms) -> Ms {
+    (steady.min(wall) - stamp).max(0.0)
+}
+
+/// Unix time in milliseconds by the wall clock, which may be stepped at any moment.
+fn wall_ms() -> Ms {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, millis)
+}
+
+fn millis(span: Duration) -> Ms {
+    span.as_secs_f64() * 1000.0
 }
 
 /// The uptime is this long when it is asked for first: a moment before it can still be told.
 const FIRST_UPTIME: Duration = Duration::from_secs(1000);
 
-fn origin() -> Instant {
-    static ORIGIN: OnceLock<Instant> = OnceLock::new();
-    *ORIGIN.get_or_init(Instant::now)
+/// When the process asked for the time first, by the monotonic clock and as Unix milliseconds.
+fn origin() -> (Instant, Ms) {
+    static ORIGIN: OnceLock<(Instant, Ms)> = OnceLock::new();
+    *ORIGIN.get_or_init(|| (Instant::now(), wall_ms()))
 }
 
 /// The monotonic clock of this process, which no step of the wall clock moves.
 pub fn uptime() -> Duration {
-    FIRST_UPTIME + origin().elapsed()
+    FIRST_UPTIME + origin().0.elapsed()
 }
 
 /// Both clocks at one moment. The steady one counts from the first time that it is asked for, and from well above naught.
 pub fn both() -> Clocks {
-    let origin = origin();
+    let (origin, _) = origin();
     let mut tries = 0;
     loop {
         let before = Instant::now();
@@ -39,3 +67,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/front/src/process/clock/tests.rs
@@ -0,0 +1,25 @@
+//! What a step of the wall clock does to the process's time line and to ages: nothing, or the cautious thing.
+
+use super::*;
+
+const HOUR: Ms = 3_600_000.0;
+const NOW: Ms = 1.8e12;
+
+#[test]
+fn the_time_line_begins_with_the_wall_clock_and_never_goes_back() {
+    let (first, wall, second) = (steady_ms(), wall_ms(), steady_ms());
+    assert!((first - wall).abs() < 1000.0, "nobody has stepped the clock here: {first} {wall}");
+    assert!(second >= first);
+}
+
+#[test]
+fn an_age_is_never_taken_for_more_than_it_is_whichever_clock_was_stepped() {
+    let stamp = NOW - 500.0;
+    assert_eq!(youngest_age(stamp, NOW, NOW), 500.0);
+    assert_eq!(youngest_age(stamp, NOW, NOW + HOUR), 500.0, "the own clock was set forward");
+    assert_eq!(youngest_age(stamp, NOW, NOW - HOUR), 0.0, "the own clock was set back: taken for new");
+    // All machines' clocks were set: whoever stamped goes by the new time, the time line by the old.
+    assert_eq!(youngest_age(stamp + HOUR, NOW, NOW + HOUR), 0.0);
+    assert_eq!(youngest_age(stamp - HOUR, NOW, NOW - HOUR), 500.0);
+    assert_eq!(youngest_age(NOW + 5.0, NOW, NOW), 0.0, "from the future");
+}
--- a/front/src/process/mod.rs
+++ b/front/src/process/mod.rs
@@ -27,6 +27,6 @@
     let mut bytes = [0; 8];
     match getrandom::fill(&mut bytes) {
         Ok(()) => u64::from_le_bytes(bytes),
-        Err(_) => clock::unix_ms().to_bits(),
+        Err(_) => clock::steady_ms().to_bits(),
     }
 }
--- a/front/src/server/dns.rs
+++ b/front/src/server/dns.rs
@@ -101,7 +101,7 @@
             server = shared.server(state.limits);
         }
         let client = Client { address: from.ip(), transport: Transport::Udp };
-        let answer = || server.answer(served, client, clock::unix_ms(), &bytes[..got], &mut out);
+        let answer = || server.answer(served, client, clock::steady_ms(), &bytes[..got], &mut out);
         match catch_unwind(AssertUnwindSafe(answer)) {
             Ok(Reaction::Reply) => drop(socket.send_to(&out, from)),
             Ok(Reaction::Silence | Reaction::Transfer(_)) => {}
@@ -142,7 +142,7 @@
         while !stop.load(Relaxed) {
             events.clear();
             let waited = epoll::wait(&self.epoll, spare_capacity(&mut events), Some(&look));
-            let now = clock::unix_ms();
+            let now = clock::steady_ms();
             let wanted = self.in_force.now().tcp;
             if wanted != limits {
                 // Other limits are for new connections; those that are there end by the old ones.
--- a/front/src/server/fastcgi.rs
+++ b/front/src/server/fastcgi.rs
@@ -332,7 +332,7 @@
 
     /// The last byte of a request has come: from here it counts as taken.
     fn complete(&mut self, id: u16) -> Result<(), Broken> {
-        let came = clock::unix_ms();
+        let came = clock::steady_ms();
         let Some(half) = self.half.remove(&id) else { return Ok(()) };
         self.brought = true;
         let mut fields = Fields::default();
--- a/front/src/server/http.rs
+++ b/front/src/server/http.rs
@@ -246,7 +246,7 @@
 
     /// The answer to a request; `None` where the client has left.
     fn answer(&self, head: &RequestHead, body: Vec<u8>) -> Option<Response> {
-        let came = clock::unix_ms();
+        let came = clock::steady_ms();
         let path = head.path.split('?').next().unwrap_or("");
         match path {
             "/-/healthy" if self.site.intake.counters.mode.is_ready() => {
@@ -430,7 +430,8 @@
             Entered::Run(result) => {
                 let ledger = site.ledger.clone();
                 let ended = key.clone();
-                let responder = Responder::new(move |answer| ledger.finish(&ended, answer, clock::unix_ms()));
+                let responder =
+                    Responder::new(move |answer| ledger.finish(&ended, answer, clock::steady_ms()));
                 let id = site.intake.hand_in(ready, responder);
                 site.ledger.runs(&key, id);
                 result
@@ -451,7 +452,7 @@
             match answer.recv_timeout(LOOK) {
                 Ok(answer) => return Some(answer),
                 Err(RecvTimeoutError::Disconnected) => return Some(Arc::new(Answer::Failed)),
-                Err(RecvTimeoutError::Timeout) if clock::unix_ms() > deadline + SLACK => {
+                Err(RecvTimeoutError::Timeout) if clock::steady_ms() > deadline + SLACK => {
                     return Some(Arc::new(Answer::Failed))
                 }
                 Err(RecvTimeoutError::Timeout) if self.client_left() => return None,
--- a/front/tests/common/mod.rs
+++ b/front/tests/common/mod.rs
@@ -13,6 +13,8 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
+use elmtide_standins::faults::Faults;
+
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
 /// Settings with one cache location; the longest deadline is short, so that the ledger opens soon.
@@ -101,7 +103,17 @@
 
     /// With variables of the environment set as well.
     pub fn start_env(caches: &[&str], edge: Option<&str>, sockets: u32, env: &[(&str, &str)]) -> Program {
-        let folder = folder();
+        Program::start_in(folder(), caches, edge, sockets, env)
+    }
+
+    /// The same in a folder that is there already.
+    pub fn start_in(
+        folder: PathBuf,
+        caches: &[&str],
+        edge: Option<&str>,
+        sockets: u32,
+        env: &[(&str, &str)],
+    ) -> Program {
         let names = caches.iter().copied().chain(["o-1", "bus", "bus2"]);
         let listeners: BTreeMap<String, TcpListener> =
             names.map(|n| (n.to_owned(), TcpListener::bind("127.0.0.1:0").unwrap())).collect();
@@ -194,6 +206,19 @@
     (program, management)
 }
 
+/// The same, with faults of its clock and its system calls.
+pub fn start_managed_with_faults(seed: u64) -> (Program, SocketAddr, Faults) {
+    let folder = folder();
+    let faults = Faults::new(&folder, seed).unwrap();
+    let environment = faults.environment();
+    let mut environment: Vec<(&str, &str)> =
+        environment.iter().map(|(name, value)| (*name, &value[..])).collect();
+    environment.push(("LB_MANAGEMENT", "127.0.0.1:0"));
+    let program = Program::start_in(folder, &["s-1"], None, 1024, &environment);
+    let management = program.management();
+    (program, management, faults)
+}
+
 /// One call at the management address, and its whole reply.
 pub fn call_management(management: SocketAddr, line: &[u8]) -> String {
     let mut stream = TcpStream::connect(management).unwrap();
--- a/front/tests/front_drain.rs
+++ b/front/tests/front_drain.rs
@@ -79,7 +79,12 @@
 }
 
 fn workload(interval_ms: u64, allow_ms: u32) -> Workload {
-    Workload { class: "small-files".into(), interval: Duration::from_millis(interval_ms), allow_ms }
+    Workload {
+        class: "small-files".into(),
+        interval: Duration::from_millis(interval_ms),
+        allow_ms,
+        has_body: false,
+    }
 }
 
 fn assert_none(breaches: &[Breach]) {
--- /dev/null
+++ b/front/tests/process_faults.rs
@@ -0,0 +1,194 @@
+//! Faults of the process itself, with real processes: its wall clock is stepped, its system calls fail for a while.
+
+mod common;
+
+use std::io::Write;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use common::{accept, call_management, start_managed_with_faults, Program};
+use elmtide_standins::faults::{FailingCalls, Faults};
+use elmtide_standins::node::{Behaviour, Node, Origin};
+use elmtide_standins::until;
+use elmtide_standins::web_server::{RequestEnd, WebServerConnection, Workload};
+use rstest::rstest;
+
+const HOUR_MS: i64 = 3_600_000;
+const ALLOW_MS: u32 = 850;
+
+struct Scene {
+    program: Program,
+    management: std::net::SocketAddr,
+    faults: Faults,
+    node: Node,
+}
+
+impl Scene {
+    fn start(seed: u64) -> Scene {
+        println!("seed {seed}");
+        let (mut program, management, faults) = start_managed_with_faults(seed);
+        let listener = program.listeners.remove("s-1").unwrap();
+        let node = Node::start("s-1", listener, &Arc::new(Origin::default()), seed).unwrap();
+        Scene { program, management, faults, node }
+    }
+
+    fn connect(&self, first_job: u64) -> WebServerConnection {
+        WebServerConnection::open(self.program.listen, first_job).unwrap()
+    }
+
+    /// Sends so many requests one after the other; how each of them ended.
+    fn ask(&self, first_job: u64, count: usize) -> Vec<RequestEnd> {
+        let connection = self.connect(first_job);
+        for _ in 0..count {
+            connection.send("small-files", ALLOW_MS, b"").unwrap();
+            assert!(until(|| connection.open_requests() == 0));
+        }
+        connection.record().requests.iter().map(|request| request.end.unwrap().1).collect()
+    }
+}
+
+fn served(ends: &[RequestEnd]) -> usize {
+    ends.iter().filter(|end| matches!(end, RequestEnd::Status { status: 200, .. })).count()
+}
+
+/// The wall clock of the front is stepped, once or twice within a second, and all requests are served as before.
+#[rstest]
+#[case::an_hour_forward(&[HOUR_MS])]
+#[case::an_hour_back(&[-HOUR_MS])]
+#[case::seconds_forward(&[7000])]
+#[case::seconds_back(&[-7000])]
+#[case::forward_and_back_at_once(&[HOUR_MS, -HOUR_MS, 0])]
+fn a_step_of_the_wall_clock_changes_nothing(#[case] offsets: &[i64]) {
+    let scene = Scene::start(1);
+    assert_eq!(served(&scene.ask(1, 10)), 10);
+    scene.node.set(Behaviour { delay: Duration::from_millis(100), ..Behaviour::default() });
+    let workload = Workload {
+        class: "small-files".into(),
+        interval: Duration::from_millis(20),
+        allow_ms: ALLOW_MS,
+        has_body: false,
+    };
+    let mut load = scene.connect(1000).start_sending(workload).unwrap();
+    for offset in offsets {
+        let asked = scene.node.asked();
+        assert!(until(|| scene.node.asked() > asked + 5), "requests are sent on");
+        scene.faults.set_wall_clock_offset(*offset).unwrap();
+    }
+    let asked = scene.node.asked();
+    assert!(until(|| scene.node.asked() > asked + 10), "requests are sent on after the step");
+    load.stop_sending();
+    assert!(until(|| load.connection().open_requests() == 0));
+    let ends: Vec<RequestEnd> =
+        load.connection().record().requests.iter().map(|request| request.end.unwrap().1).collect();
+    assert_eq!(served(&ends), ends.len(), "{ends:?}");
+    assert_eq!(served(&scene.ask(5000, 10)), 10);
+}
+
+/// A request whose node is silent has its final answer by its deadline, whatever the wall clock does meanwhile.
+#[rstest]
+#[case::an_hour_forward(HOUR_MS)]
+#[case::an_hour_back(-HOUR_MS)]
+fn a_step_under_an_open_request_leaves_its_deadline(#[case] offset: i64) {
+    let scene = Scene::start(2);
+    scene.node.set(Behaviour { mute: true, ..Behaviour::default() });
+    let connection = scene.connect(1);
+    connection.send("small-files", ALLOW_MS, b"").unwrap();
+    assert!(until(|| scene.node.asked() == 1));
+    scene.faults.set_wall_clock_offset(offset).unwrap();
+    assert!(until(|| connection.open_requests() == 0));
+    let request = connection.record().requests[0].clone();
+    let waited = request.end.unwrap().0 - request.written;
+    let allowed = Duration::from_millis(u64::from(ALLOW_MS));
+    assert!(waited > allowed / 4 && waited < allowed + Duration::from_millis(50), "{waited:?}");
+}
+
+/// A step in the middle of a drain: it has its time, no more and no less.
+#[rstest]
+#[case::an_hour_forward(HOUR_MS)]
+#[case::an_hour_back(-HOUR_MS)]
+fn a_step_under_a_drain_does_not_change_its_time(#[case] offset: i64) {
+    let scene = Scene::start(3);
+    scene.node.set(Behaviour { delay: Duration::from_millis(300), ..Behaviour::default() });
+    let workload = Workload {
+        class: "small-files".into(),
+        interval: Duration::from_millis(60),
+        allow_ms: ALLOW_MS,
+        has_body: false,
+    };
+    let mut busy = scene.connect(1).start_sending(workload).unwrap();
+    assert!(until(|| scene.node.asked() >= 5));
+    let began = Instant::now();
+    assert_eq!(call_management(scene.management, b"PAUSE\n"), "200 paused\r\n");
+    scene.faults.set_wall_clock_offset(offset).unwrap();
+    assert!(until(|| busy.connection().has_ended()));
+    let held = began.elapsed();
+    assert!(held > Duration::from_millis(900) && held < Duration::from_millis(4050), "{held:?}");
+    busy.stop_sending();
+    let record = busy.connection().record();
+    let lost =
+        record.requests.iter().filter(|r| r.end.is_some_and(|(_, end)| end == RequestEnd::ConnectionLost));
+    let crossed = |written| record.ended.unwrap() - written < Duration::from_millis(50);
+    assert!(lost.clone().all(|r| crossed(r.written)), "none is lost");
+    assert!(record.requests.iter().all(|r| r.extra_answers == 0));
+}
+
+/// Nothing older than a purge is asked for, whichever way the wall clock of the front was stepped before it was told.
+#[rstest]
+#[case::not_stepped(0)]
+#[case::an_hour_forward(HOUR_MS)]
+#[case::an_hour_back(-HOUR_MS)]
+fn a_purge_is_never_taken_for_older_than_it_is(#[case] offset: i64) {
+    let scene = Scene::start(4);
+    assert_eq!(served(&scene.ask(1, 1)), 1);
+    scene.faults.set_wall_clock_offset(offset).unwrap();
+    let purged_at = Instant::now();
+    let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+    let event = format!(r#"{{"offset":2,"ban":{{"url":"7f3a9c21e0b4d655","ts":{unix_ms}}}}}"#);
+    let body = format!(r#"{{"offset":2,"batch":[{event}]}}"#);
+    let mut bus = accept(&scene.program.listeners["bus"]);
+    write!(bus, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).unwrap();
+    let mut job = 100;
+    // Until the grace of a purge is over a copy from before it may still do.
+    while purged_at.elapsed() < Duration::from_millis(1000) {
+        scene.ask(job, 1);
+        job += 1;
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    scene.ask(job, 1);
+    let since_purge = purged_at.elapsed().as_millis() as u64;
+    let max_age = scene.node.seen().last().unwrap().max_age_ms.expect("an oldest copy is named");
+    assert!((1..=since_purge).contains(&max_age), "{max_age} ms, {since_purge} ms after the purge");
+}
+
+/// Calls of sockets fail or go through in part, three in ten, for seconds: every request has an answer, nearly all are served,
+/// and afterwards the front is as it was.
+#[rstest]
+fn failing_calls_of_sockets_lose_no_request(#[values(11, 12, 13)] seed: u64) {
+    let scene = Scene::start(seed);
+    assert_eq!(served(&scene.ask(1, 5)), 5);
+    let calls = [FailingCalls::Accept, FailingCalls::Connect, FailingCalls::Receive, FailingCalls::Send];
+    for call in calls {
+        scene.faults.set_failure_rate(call, 300).unwrap();
+    }
+    let workload = Workload {
+        class: "small-files".into(),
+        interval: Duration::from_millis(15),
+        allow_ms: ALLOW_MS,
+        has_body: false,
+    };
+    let first = scene.connect(1000).start_sending(workload.clone()).unwrap();
+    let second = scene.connect(100_000).start_sending(workload).unwrap();
+    assert!(until(|| scene.faults.injected_failures().unwrap() > 500));
+    for call in calls {
+        scene.faults.set_failure_rate(call, 0).unwrap();
+    }
+    for mut load in [first, second] {
+        load.stop_sending();
+        assert!(until(|| load.connection().open_requests() == 0));
+        let record = load.connection().record();
+        let ends: Vec<RequestEnd> = record.requests.iter().map(|request| request.end.unwrap().1).collect();
+        assert!(!ends.contains(&RequestEnd::ConnectionLost), "{ends:?}");
+        assert!(served(&ends) * 10 >= ends.len() * 8, "{} of {} served", served(&ends), ends.len());
+    }
+    assert_eq!(served(&scene.ask(500_000, 20)), 20, "as it was before");
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 #![expect(missing_docs, reason = "not documented in full yet: see docs/ROADMAP.md")]
 
 pub mod bus;
+pub mod faults;
 pub mod fleet;
 pub mod front;
 pub mod links;
--- a/standins/src/node.rs
+++ b/standins/src/node.rs
@@ -90,6 +90,8 @@
     pub body: Vec<u8>,
     /// Who was to supply a miss; empty for nobody.
     pub parent: String,
+    /// The oldest copy that would do, in milliseconds, where it was told.
+    pub max_age_ms: Option<u64>,
     /// It was not held.
     pub missed: bool,
 }
@@ -285,6 +287,7 @@
                     thing,
                     body,
                     parent: parent.clone(),
+                    max_age_ms: field("accept").parse().ok(),
                     missed,
                 });
                 if missed && parent.is_empty() && !never_kept(&profile) && behaviour.honest {
--- a/standins/src/web_server.rs
+++ b/standins/src/web_server.rs
@@ -126,6 +126,8 @@
     pub interval: Duration,
     /// How long it waits for an answer, in milliseconds (`X-Allow-Ms`).
     pub allow_ms: u32,
+    /// Each request has a body of its own, by which a cache node knows whether it has run before.
+    pub has_body: bool,
 }
 
 /// A web server's connection to a front.
@@ -205,7 +207,9 @@
             }
             due += workload.interval;
             if self.open_requests() < MAX_OPEN_REQUESTS {
-                let sent = self.send(&workload.class, workload.allow_ms, b"");
+                let job = self.next_job.load(Relaxed).to_string();
+                let body = if workload.has_body { job.as_bytes() } else { b"" };
+                let sent = self.send(&workload.class, workload.allow_ms, body);
                 if sent.is_err() {
                     return;
                 }
