--- a/front/src/engine/attempts.rs
+++ b/front/src/engine/attempts.rs
@@ -90,10 +90,12 @@
             }
             Action::Refuse { id, retry_after } => {
                 let wait_ms = retry_after.map(|ms| ms.max(0.0) as u64);
+                tracing::debug!(request = id.0, wait_ms, "request: rejected by the router");
                 self.reject(id, wait_ms);
                 self.release_admission(id, Ended::Lost);
             }
             Action::Fail { id } => {
+                tracing::debug!(request = id.0, "request: failed by the router");
                 if self.exchanges.answer(id, Answer::Failed) {
                     self.counters.failed.fetch_add(1, Relaxed);
                 }
@@ -164,6 +166,15 @@
         let source = Some(source).filter(|source| *source != cache && may_fill);
         let source = self.reserve_fill(key, cache, source, passed.write);
         self.note_servers_in_use(key, cache, source);
+        tracing::debug!(
+            request = id.0,
+            attempt = attempt.0,
+            job = passed.job.as_str(),
+            server = cache.0,
+            source = source.map(|source| source.0),
+            timeout_ms = timeout,
+            "attempt: begun"
+        );
         let order = Order { key, passed, cache, source, rank, max_age, mode, timeout, write_by, guarded };
         if let Err(progress) = self.upstream.send(&order) {
             self.ended.push_back((key, progress.broken()));
@@ -214,13 +225,14 @@
             }
         }
         let router = exchange.router;
+        let (id, attempt) = (key.id, key.attempt);
+        tracing::debug!(request = id.0, attempt = attempt.0, server = to.0, ?outcome, "attempt: ended");
         self.counters.outcome(outcome);
         self.failing.heard(to, outcome);
         if let Some(maintenance) = self.maintenance.as_mut().filter(|_| outcome == Outcome::Ok) {
             maintenance.served(to);
         }
         let settled = exchange.is_answered();
-        let (id, attempt) = (key.id, key.attempt);
         let latency = self.now - sent;
         self.note_cell_fill(router, note);
         if let Some(budgets) = &mut self.budgets {
--- /dev/null
+++ b/front/tests/soak.rs
@@ -0,0 +1,312 @@
+//! Seeded runs of a front between stand-ins under several faults at once, up to a SIGKILL at the earliest moment that the
+//! platform allows. Clients use their open connections until then; what broke is judged by what clients and nodes recorded.
+//!
+//! A seed gives the same plan of faults. By hand: `ELMTIDE_SOAK_SEEDS=100..150 cargo test -p elmtide-front --test soak --
+//! --nocapture`; a seed that fails is run again alone with `ELMTIDE_SOAK_SEEDS=117..118`.
+
+mod common;
+
+use std::net::{SocketAddr, TcpStream};
+use std::ops::Range;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use common::{call_management, start_managed_with_faults, Program};
+use elmtide_rules::front_drain::{check_answers, check_drain, Breach, ClientConnection};
+use elmtide_standins::faults::{FailingCalls, Faults};
+use elmtide_standins::node::{runs, Behaviour, Node, Origin};
+use elmtide_standins::until;
+use elmtide_standins::web_server::{ConnectionRecord, SendingWebServer, WebServerConnection, Workload};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const SEEDS_VARIABLE: &str = "ELMTIDE_SOAK_SEEDS";
+/// What CI plays: about a minute.
+const DEFAULT_SEEDS: Range<u64> = 1..9;
+/// Runs at a time.
+const PARALLEL_RUNS: u64 = 4;
+/// An answer so late only earns nothing; one that is later is lost.
+const LATE_LIMIT_MS: f64 = 500.0;
+/// The platform kills so long after the longest deadline.
+const KILL_MARGIN: Duration = Duration::from_millis(700);
+/// What the platform counts of the longest deadline.
+const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
+const DRAIN_OBSERVATION: Duration = Duration::from_millis(4150);
+const HOUR_MS: i64 = 3_600_000;
+const CROWD: usize = 450;
+
+/// A web server: what it asks, its connection, and those that have ended.
+struct Client {
+    workload: Workload,
+    current: Option<SendingWebServer>,
+    past: Vec<ConnectionRecord>,
+    next_job: u64,
+}
+
+/// Jobs of one connection are numbered from its first.
+const JOBS_PER_CONNECTION: u64 = 100_000;
+
+impl Client {
+    fn new(place: u64, class: &str, interval_ms: u64, allow_ms: u32) -> Client {
+        let workload = Workload {
+            class: class.into(),
+            interval: Duration::from_millis(interval_ms),
+            allow_ms,
+            has_body: class.ends_with("signup"),
+        };
+        Client { workload, current: None, past: Vec::new(), next_job: (place + 1) << 32 }
+    }
+
+    /// Goes on where its connection has ended, if new ones are opened now.
+    fn keep_connected(&mut self, front: SocketAddr, opens: bool) {
+        if self.current.as_ref().is_some_and(|c| c.connection().has_ended()) {
+            self.retire();
+        }
+        if self.current.is_none() && opens {
+            let opened = WebServerConnection::open(front, self.next_job);
+            self.next_job += JOBS_PER_CONNECTION;
+            self.current = opened.and_then(|c| c.start_sending(self.workload.clone())).ok();
+        }
+    }
+
+    fn retire(&mut self) {
+        if let Some(mut connection) = self.current.take() {
+            connection.stop_sending();
+            self.past.push(connection.connection().record());
+        }
+    }
+
+    fn observed(&self, epoch: Instant) -> Vec<ClientConnection> {
+        let now = self.current.iter().map(|c| c.connection().record());
+        let allow_ms = f64::from(self.workload.allow_ms);
+        self.past.iter().cloned().chain(now).map(|record| record.observed_since(epoch, allow_ms)).collect()
+    }
+}
+
+/// What one run came to.
+#[derive(Debug, Default)]
+struct Outcome {
+    requests: usize,
+    faults: Vec<String>,
+    breaches: Vec<String>,
+}
+
+struct Run {
+    random: StdRng,
+    program: Program,
+    management: SocketAddr,
+    faults: Faults,
+    node: Node,
+    clients: Vec<Client>,
+    crowd: Vec<TcpStream>,
+    epoch: Instant,
+    longest_deadline: Duration,
+    outcome: Outcome,
+}
+
+impl Run {
+    fn start(seed: u64) -> Run {
+        let mut random = StdRng::seed_from_u64(seed);
+        let (mut program, management, faults) = start_managed_with_faults(seed);
+        let listener = program.listeners.remove("s-1").unwrap();
+        let node = Node::start("s-1", listener, &Arc::new(Origin::default()), seed).unwrap();
+        let deadline_ms: u32 = random.random_range(500..4500);
+        program.spoil("\"HardLimitMs\":900", &format!("\"HardLimitMs\":{deadline_ms}"));
+        if random.random_bool(0.5) {
+            program.spoil("\"SecondCopies\":true", "\"SecondCopies\":false");
+        }
+        program.signal("HUP");
+        program.log.wait("classes are in force", 0);
+        let allow_ms = deadline_ms - 50;
+        let mut interval = || random.random_range(15..90);
+        let clients = vec![
+            Client::new(0, "small-files", interval(), allow_ms),
+            Client::new(1, "small-files", interval(), allow_ms),
+            Client::new(2, "plan-signup", interval(), allow_ms),
+        ];
+        let longest_deadline = Duration::from_millis(u64::from(deadline_ms));
+        let outcome = Outcome { faults: vec![format!("deadline={deadline_ms}")], ..Outcome::default() };
+        let epoch = Instant::now();
+        let crowd = Vec::new();
+        Run { random, program, management, faults, node, clients, crowd, epoch, longest_deadline, outcome }
+    }
+
+    /// Lets time pass while clients go on.
+    fn pass(&mut self, span: Duration, opens: bool) {
+        let end = Instant::now() + span;
+        while Instant::now() < end {
+            for client in &mut self.clients {
+                client.keep_connected(self.program.listen, opens);
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    fn note(&mut self, fault: impl Into<String>) {
+        self.outcome.faults.push(fault.into());
+    }
+
+    /// Draws one fault, or the end of some.
+    fn inject(&mut self) {
+        match self.random.random_range(0..9) {
+            0 => {
+                let offset = [HOUR_MS, -HOUR_MS, 7000, -7000, 0][self.random.random_range(0..5)];
+                self.faults.set_wall_clock_offset(offset).unwrap();
+                self.note(format!("clock={offset}"));
+            }
+            1 | 2 => {
+                let all =
+                    [FailingCalls::Accept, FailingCalls::Connect, FailingCalls::Receive, FailingCalls::Send];
+                let calls = all[self.random.random_range(0..all.len())];
+                let rate = self.random.random_range(0..250);
+                self.faults.set_failure_rate(calls, rate).unwrap();
+                self.note(format!("{calls:?}={rate}"));
+            }
+            3 => {
+                self.program.signal("HUP");
+                self.note("HUP");
+            }
+            4 => {
+                self.program.signal("USR1");
+                self.note("USR1");
+            }
+            5 => {
+                self.program.signal("STOP");
+                std::thread::sleep(Duration::from_millis(60));
+                self.program.signal("CONT");
+                self.note("STOP,CONT");
+            }
+            6 if self.crowd.is_empty() && self.random.random_bool(0.4) => {
+                let connect = |_| TcpStream::connect(self.program.listen).ok();
+                self.crowd = (0..CROWD).filter_map(connect).collect();
+                self.note("crowd");
+            }
+            _ => self.change_node(),
+        }
+    }
+
+    fn change_node(&mut self) {
+        let behaviour = Behaviour {
+            delay: Duration::from_millis(self.random.random_range(0..400)),
+            mute: self.random.random_bool(0.2),
+            lose: [0.0, 0.1][self.random.random_range(0..2)],
+            shed: [0.0, 0.2][self.random.random_range(0..2)],
+            bytes: [64, 100_000][self.random.random_range(0..2)],
+            ..Behaviour::default()
+        };
+        self.node.set(behaviour);
+        self.note(format!(
+            "node(delay={},mute={},lose={},shed={})",
+            behaviour.delay.as_millis(),
+            behaviour.mute,
+            behaviour.lose,
+            behaviour.shed
+        ));
+    }
+
+    fn trouble(&mut self, faults: usize) {
+        for _ in 0..faults {
+            let span = Duration::from_millis(self.random.random_range(100..500));
+            self.pass(span, true);
+            self.inject();
+        }
+    }
+
+    /// An operator drains the front, past the limit, with a fault or two meanwhile.
+    fn drain(&mut self) {
+        self.note("PAUSE");
+        let began = self.epoch.elapsed().as_secs_f64() * 1000.0;
+        let end = Instant::now() + DRAIN_OBSERVATION;
+        assert_eq!(call_management(self.management, b"PAUSE\n"), "200 paused\r\n");
+        self.pass(Duration::from_millis(200), true);
+        self.pass(Duration::from_millis(500), false);
+        self.inject();
+        self.pass(end.saturating_duration_since(Instant::now()), false);
+        let observed: Vec<ClientConnection> =
+            self.clients.iter().flat_map(|c| c.observed(self.epoch)).collect();
+        let breaches = check_drain(began, &observed);
+        self.outcome.breaches.extend(breaches.iter().map(|b| format!("drain: {b}")));
+        assert_eq!(call_management(self.management, b"RESUME\n"), "200 resumed\r\n");
+        self.note("RESUME");
+    }
+
+    /// SIGTERM, sometimes in a series of signals, and the kill at its earliest; clients go on until then.
+    fn end(&mut self) {
+        let began = Instant::now();
+        let series: &[&str] =
+            [&["TERM"][..], &["HUP", "HUP", "TERM"], &["TERM", "HUP"], &["TERM", "USR1", "TERM"]]
+                [self.random.random_range(0..4)];
+        for signal in series {
+            self.program.signal(signal);
+        }
+        self.note(series.join(","));
+        // New connections keep coming for 0.2 to 0.4 s.
+        self.pass(Duration::from_millis(300), true);
+        let kill_at = began + self.longest_deadline.min(MAX_COUNTED_DEADLINE) + KILL_MARGIN;
+        self.pass(kill_at.saturating_duration_since(Instant::now()), false);
+        let _ = self.program.child.kill();
+        let _ = self.program.child.wait();
+        for client in &mut self.clients {
+            if let Some(connection) = &client.current {
+                let ended = until(|| connection.connection().has_ended());
+                assert!(ended, "the kill ends every connection");
+            }
+            client.retire();
+        }
+    }
+
+    fn judge(mut self) -> Outcome {
+        let observed: Vec<ClientConnection> =
+            self.clients.iter().flat_map(|c| c.observed(self.epoch)).collect();
+        self.outcome.requests = observed.iter().map(|c| c.requests.len()).sum();
+        let only_late = |breach: &Breach| matches!(breach, Breach::Late { by, .. } if *by < LATE_LIMIT_MS);
+        let breaches = check_answers(&observed).into_iter().filter(|b| !only_late(b));
+        self.outcome.breaches.extend(breaches.map(|b| format!("answers: {b}")));
+        let twice = runs([&self.node]).into_iter().filter(|(_, count)| *count > 1);
+        self.outcome.breaches.extend(
+            twice.map(|(body, count)| format!("signup {} ran {count} times", String::from_utf8_lossy(&body))),
+        );
+        self.outcome
+    }
+}
+
+fn play(seed: u64) -> Outcome {
+    let mut run = Run::start(seed);
+    let first = run.random.random_range(3..8);
+    run.trouble(first);
+    if run.random.random_bool(0.6) {
+        run.drain();
+    }
+    let second = run.random.random_range(1..5);
+    run.trouble(second);
+    run.end();
+    run.judge()
+}
+
+fn seeds() -> Range<u64> {
+    let Ok(text) = std::env::var(SEEDS_VARIABLE) else { return DEFAULT_SEEDS };
+    let (from, to) = text.split_once("..").expect("FROM..TO");
+    from.parse().unwrap()..to.parse().unwrap()
+}
+
+#[test]
+fn no_rule_breaks_under_several_faults_up_to_the_kill() {
+    let seeds = seeds();
+    let lanes: Vec<_> = (0..PARALLEL_RUNS)
+        .map(|lane| {
+            let own: Vec<u64> = seeds.clone().filter(|seed| seed % PARALLEL_RUNS == lane).collect();
+            std::thread::spawn(move || own.into_iter().map(|seed| (seed, play(seed))).collect::<Vec<_>>())
+        })
+        .collect();
+    let mut outcomes: Vec<(u64, Outcome)> = lanes.into_iter().flat_map(|lane| lane.join().unwrap()).collect();
+    outcomes.sort_by_key(|(seed, _)| *seed);
+    for (seed, outcome) in &outcomes {
+        let (requests, faults) = (outcome.requests, outcome.faults.join(" "));
+        println!("seed {seed}: {requests} requests, {} breaches; {faults}", outcome.breaches.len());
+        outcome.breaches.iter().take(10).for_each(|breach| println!("  {breach}"));
+    }
+    let requests: usize = outcomes.iter().map(|(_, outcome)| outcome.requests).sum();
+    let broken = outcomes.iter().filter(|(_, outcome)| !outcome.breaches.is_empty()).count();
+    println!("{} runs, {requests} requests, {broken} runs with a breach", outcomes.len());
+    assert_eq!(broken, 0);
+}
