Wait out calls that fail for a moment while the front starts

Cause: each socket, epoll and thread of the start was asked for once; ENOBUFS, ENFILE, ENOMEM or EAGAIN of a moment ended the program, which the platform counts as a crash. Ruled out: failing thread starts in service, which lose no request (test). Change: process::transient says which errors pass, and the start tries for 8 s at most; a configuration that can't be opened for a moment is tried for 0.5 s. The shim fails thread starts too, and the soak draws them.

--- a/fault-shim/src/lib.rs
+++ b/fault-shim/src/lib.rs
@@ -4,7 +4,7 @@
 //! Test only, and the one crate of the workspace with `unsafe` code: it takes the place of functions of the C library. Each calls
 //! the kernel by itself, so none of them needs the function that it replaces. Where no control file is named, nothing changes.
 //!
-//! The control file holds eight words of 64 bits in the machine's byte order; see [`Control`].
+//! The control file holds nine words of 64 bits in the machine's byte order; see [`Control`].
 
 use std::ffi::{c_int, c_void, CStr};
 use std::sync::atomic::{AtomicI64, AtomicPtr, AtomicU64, Ordering::Relaxed};
@@ -31,6 +31,8 @@
     pub short_send_rate: AtomicU64,
     /// `write`, `fsync`, `fdatasync` and `rename` of files fail: there is no room, or the device fails.
     pub disk_failure_rate: AtomicU64,
+    /// `pthread_create` fails with EAGAIN.
+    pub thread_failure_rate: AtomicU64,
     /// Calls that have been made to fail.
     pub injected_failures: AtomicU64,
     /// Drives which calls fail.
@@ -205,6 +207,35 @@
         && status.assume_init().st_mode & libc::S_IFMT == libc::S_IFREG
 }
 
+/// Finds the next definition of a function after this library's.
+unsafe fn next_definition(name: &CStr) -> *mut c_void {
+    libc::dlsym(libc::RTLD_NEXT, name.as_ptr())
+}
+
+type ThreadMain = extern "C" fn(*mut c_void) -> *mut c_void;
+type CreateThread =
+    unsafe extern "C" fn(*mut libc::pthread_t, *const libc::pthread_attr_t, ThreadMain, *mut c_void) -> c_int;
+
+/// # Safety
+/// As `pthread_create` of the C library.
+#[no_mangle]
+pub unsafe extern "C" fn pthread_create(
+    thread: *mut libc::pthread_t,
+    attributes: *const libc::pthread_attr_t,
+    main: ThreadMain,
+    argument: *mut c_void,
+) -> c_int {
+    if let Some(error) = drawn_error(|c| &c.thread_failure_rate, &[libc::EAGAIN]) {
+        return error;
+    }
+    let create = next_definition(c"pthread_create");
+    if create.is_null() {
+        return libc::EAGAIN;
+    }
+    // SAFETY: the C library's own function of this name and type.
+    std::mem::transmute::<*mut c_void, CreateThread>(create)(thread, attributes, main, argument)
+}
+
 const DISK_ERRORS: [c_int; 2] = [libc::ENOSPC, libc::EIO];
 
 /// # Safety
--- a/front/src/lifecycle/config.rs
+++ b/front/src/lifecycle/config.rs
@@ -11,8 +11,12 @@
 use crate::client::pool::Limits;
 use crate::client::streams::stale;
 use crate::exchange::Class;
+use crate::process::transient::retry_within;
 use crate::wire::bus::{self, Batch};
 
+/// How long a file is tried for that can't be opened for a moment; at SIGHUP signals wait meanwhile.
+const READ_PATIENCE: Duration = Duration::from_millis(500);
+
 #[derive(Debug)]
 pub struct Config {
     pub name: String,
@@ -82,8 +86,11 @@
 
 impl Config {
     /// Reads the file; `listen` of the environment goes before that of the file.
+    /// Reads the file. A system that is short of descriptors for a moment is waited for.
     pub fn load(path: &Path, listen: Option<&str>) -> Result<Config, String> {
-        let text = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        let read = || std::fs::read(path);
+        let text = retry_within(READ_PATIENCE, "configuration", read)
+            .map_err(|e| format!("{}: {e}", path.display()))?;
         Config::parse(&text, listen).map_err(|why| format!("{}: {why}", path.display()))
     }
 
--- a/front/src/lifecycle/listener.rs
+++ b/front/src/lifecycle/listener.rs
@@ -2,6 +2,8 @@
 
 use std::net::{SocketAddr, TcpListener};
 
+use crate::process::transient::retry_at_start;
+
 /// Where the listener came from, which decides how the process ends: an inherited one is the next process's too.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Origin {
@@ -20,7 +22,8 @@
             Err(why) => eprintln!("listen: LB_FD is {fd:?}, which can't be used ({why}); binding {listen}"),
         }
     }
-    let listener = TcpListener::bind(listen).map_err(|e| format!("listen on {listen}: {e}"))?;
+    let listener = retry_at_start("listen", || TcpListener::bind(listen))
+        .map_err(|e| format!("listen on {listen}: {e}"))?;
     Ok((listener, Origin::Bound))
 }
 
--- a/front/src/lifecycle/serve.rs
+++ b/front/src/lifecycle/serve.rs
@@ -24,7 +24,8 @@
 use crate::memory::budget::Budget;
 use crate::memory::counters::Counters;
 use crate::memory::longest::Longest;
-use crate::process::{clock, log, random_secret, spawn};
+use crate::process::transient::{self, retry_at_start};
+use crate::process::{clock, log, random_secret, spawn_at_start};
 use crate::server::clients::Clients;
 use crate::server::management::Management;
 use crate::server::sockets::Sockets;
@@ -41,7 +42,8 @@
     second: &SecondFrontFiles,
 ) -> Result<(), String> {
     let mut config = read()?;
-    let signals = Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
+    let register = || Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]);
+    let signals = retry_at_start("signals", register).map_err(|e| format!("signals: {e}"))?;
     let counters = Arc::new(Counters::default());
     let (inputs, events) = bounded(MAX_QUEUED_INPUTS);
     let handed = std::env::var("LB_FD").ok();
@@ -77,7 +79,7 @@
     let longest = Longest::new(config.longest_deadline);
     let bus = Arc::new(Whereabouts::new(config.bus));
     let followed = bus.clone();
-    spawn("bus", move || feed.follow(&followed)).map_err(|e| format!("bus thread: {e}"))?;
+    spawn_at_start("bus", move || feed.follow(&followed)).map_err(|e| format!("bus thread: {e}"))?;
 
     let bodies = Budget::new(config.memory / REQUEST_MEMORY_DIVISOR);
     let intake = Arc::new(Intake::new(config.classes.clone(), bodies, inputs.clone(), counters.clone()));
@@ -150,7 +152,7 @@
         let _ = catch_unwind(AssertUnwindSafe(|| sockets.run()));
         let _ = inputs.send(Input::Stop);
     };
-    spawn("clients", run).map(drop).map_err(|e| format!("clients' thread: {e}"))
+    spawn_at_start("clients", run).map(drop).map_err(|e| format!("clients' thread: {e}"))
 }
 
 /// Reads signals on a thread of its own; the channel says when one asks for the end.
@@ -172,7 +174,7 @@
             }
         }
     };
-    spawn("signals", run).map_err(|e| format!("signal thread: {e}"))?;
+    spawn_at_start("signals", run).map_err(|e| format!("signal thread: {e}"))?;
     Ok(terms)
 }
 
@@ -209,7 +211,6 @@
         let _alive = alive;
         engine.run(&events);
     };
-    let thread = std::thread::Builder::new().name("engine".into()).spawn(run);
-    thread.map_err(|e| format!("engine thread: {e}"))?;
+    transient::spawn_at_start("engine", None, run).map_err(|e| format!("engine thread: {e}"))?;
     Ok(stopped)
 }
--- a/front/src/process/mod.rs
+++ b/front/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 pub mod log;
+pub mod transient;
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
@@ -10,6 +11,11 @@
 /// Stack of a connection's thread. Hundreds of them have to fit into the memory of a front.
 const STACK: usize = 128 * 1024;
 
+/// Starts a thread with a small stack that the program can't do without.
+pub fn spawn_at_start(name: &str, body: impl FnOnce() + Send + 'static) -> io::Result<JoinHandle<()>> {
+    transient::spawn_at_start(name, Some(STACK), body)
+}
+
 pub fn spawn(name: &str, body: impl FnOnce() + Send + 'static) -> io::Result<JoinHandle<()>> {
     Builder::new().name(name.into()).stack_size(STACK).spawn(body)
 }
--- a/front/src/server/clients.rs
+++ b/front/src/server/clients.rs
@@ -12,7 +12,7 @@
 use elmtide_drain::{ConnectionAction, ConnectionActivity, DrainPhase};
 
 use crate::memory::counters::{Counters, Unwritten};
-use crate::process::{clock, spawn};
+use crate::process::{clock, spawn_at_start};
 
 /// A request is whole within so long of its first byte, and the first of a connection of its start.
 pub const REQUEST: Duration = Duration::from_millis(2200);
@@ -321,7 +321,7 @@
                 eprintln!("accept: no room, {away} client connections were turned away");
             }
         };
-        spawn("client-watch", watch).map(drop)
+        spawn_at_start("client-watch", watch).map(drop)
     }
 }
 
--- a/front/src/server/management.rs
+++ b/front/src/server/management.rs
@@ -5,7 +5,7 @@
 //! oldest makes room. Each has `BRING` to bring its line; a reply that the caller does not take in is dropped.
 
 use std::collections::HashMap;
-use std::io::{ErrorKind, Read, Write};
+use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -18,7 +18,8 @@
 
 use crate::memory::counters::Counters;
 use crate::memory::mode::State;
-use crate::process::{clock, spawn};
+use crate::process::transient::retry_at_start;
+use crate::process::{clock, spawn_at_start};
 use crate::wire::management::{self, Call, LONGEST};
 
 /// Callers at a time.
@@ -53,9 +54,11 @@
 
 impl Management {
     pub fn bind(at: SocketAddr, counters: Arc<Counters>) -> Result<Management, String> {
-        let listener = TcpListener::bind(at).map_err(|e| format!("management address {at}: {e}"))?;
+        let listener = retry_at_start("management address", || TcpListener::bind(at))
+            .map_err(|e| format!("management address {at}: {e}"))?;
         listener.set_nonblocking(true).map_err(|e| e.to_string())?;
-        let epoll = epoll::create(epoll::CreateFlags::CLOEXEC).map_err(|e| e.to_string())?;
+        let create = || epoll::create(epoll::CreateFlags::CLOEXEC).map_err(io::Error::from);
+        let epoll = retry_at_start("management epoll", create).map_err(|e| e.to_string())?;
         epoll::add(&epoll, &listener, EventData::new_u64(LISTENER), EventFlags::IN)
             .map_err(|e| e.to_string())?;
         Ok(Management { epoll, listener, counters, callers: HashMap::new(), next: LISTENER + 1 })
@@ -67,7 +70,9 @@
 
     /// Serves on a thread of its own for as long as the program runs.
     pub fn start(self) -> Result<(), String> {
-        spawn("management", move || self.run()).map(drop).map_err(|e| format!("management thread: {e}"))
+        spawn_at_start("management", move || self.run())
+            .map(drop)
+            .map_err(|e| format!("management thread: {e}"))
     }
 
     fn run(mut self) {
--- a/front/src/server/sockets.rs
+++ b/front/src/server/sockets.rs
@@ -23,6 +23,7 @@
 use crate::lifecycle::listener::Origin;
 use crate::memory::mode::{Mode, State};
 use crate::process::clock;
+use crate::process::transient::retry_at_start;
 
 use crate::server::clients::{Admitted, Clients, Protocol};
 use crate::server::drain_report::DrainReport;
@@ -230,8 +231,9 @@
         clients: Clients,
         intake: Arc<Intake>,
     ) -> io::Result<(Sockets, Finish)> {
-        let epoll = epoll::create(epoll::CreateFlags::CLOEXEC)?;
-        let (mailbox, deliveries) = Mailbox::new()?;
+        let create = || epoll::create(epoll::CreateFlags::CLOEXEC).map_err(io::Error::from);
+        let epoll = retry_at_start("clients' epoll", create)?;
+        let (mailbox, deliveries) = retry_at_start("clients' mailbox", Mailbox::new)?;
         listener.set_nonblocking(true)?;
         epoll::add(&epoll, &listener, EventData::new_u64(LISTENER), EventFlags::IN)?;
         epoll::add(&epoll, mailbox.bell(), EventData::new_u64(WAKER), EventFlags::IN)?;
--- a/front/tests/common/mod.rs
+++ b/front/tests/common/mod.rs
@@ -13,7 +13,7 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
-use elmtide_standins::faults::Faults;
+use elmtide_standins::faults::{FailingCalls, Faults};
 
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -208,8 +208,14 @@
 
 /// The same, with faults of its clock and its system calls.
 pub fn start_managed_with_faults(seed: u64) -> (Program, SocketAddr, Faults) {
+    start_under_faults(seed, &[])
+}
+
+/// The same, with calls that fail from the start: so many of a thousand.
+pub fn start_under_faults(seed: u64, failing: &[(FailingCalls, u64)]) -> (Program, SocketAddr, Faults) {
     let folder = folder();
     let faults = Faults::new(&folder, seed).unwrap();
+    failing.iter().for_each(|(calls, rate)| faults.set_failure_rate(*calls, *rate).unwrap());
     let environment = faults.environment();
     let mut environment: Vec<(&str, &str)> =
         environment.iter().map(|(name, value)| (*name, &value[..])).collect();
--- a/front/tests/process_faults.rs
+++ b/front/tests/process_faults.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use common::{accept, call_management, start_managed_with_faults, Program};
+use common::{accept, call_management, start_under_faults, Program};
 use elmtide_standins::faults::{FailingCalls, Faults};
 use elmtide_standins::node::{Behaviour, Node, Origin};
 use elmtide_standins::until;
@@ -25,8 +25,13 @@
 
 impl Scene {
     fn start(seed: u64) -> Scene {
+        Scene::start_failing(seed, &[])
+    }
+
+    /// These calls fail from the start: so many of a thousand.
+    fn start_failing(seed: u64, failing: &[(FailingCalls, u64)]) -> Scene {
         println!("seed {seed}");
-        let (mut program, management, faults) = start_managed_with_faults(seed);
+        let (mut program, management, faults) = start_under_faults(seed, failing);
         let listener = program.listeners.remove("s-1").unwrap();
         let node = Node::start("s-1", listener, &Arc::new(Origin::default()), seed).unwrap();
         Scene { program, management, faults, node }
@@ -192,3 +197,27 @@
     }
     assert_eq!(served(&scene.ask(500_000, 20)), 20, "as it was before");
 }
+
+/// Sockets and threads that can't be had for a moment while the front starts: it starts all the same, and serves.
+#[rstest]
+fn a_start_waits_out_what_fails_for_a_moment(#[values(21, 22, 23, 24)] seed: u64) {
+    let failing = [(FailingCalls::Connect, 500), (FailingCalls::Thread, 500)];
+    let scene = Scene::start_failing(seed, &failing);
+    assert!(scene.faults.injected_failures().unwrap() > 0);
+    for (calls, _) in failing {
+        scene.faults.set_failure_rate(calls, 0).unwrap();
+    }
+    assert_eq!(served(&scene.ask(1, 10)), 10);
+}
+
+/// Threads can't be started for a while: connections to cache nodes can't be opened, and every request has an answer.
+#[test]
+fn threads_that_can_not_be_started_lose_no_request() {
+    let scene = Scene::start(25);
+    scene.faults.set_failure_rate(FailingCalls::Thread, 1000).unwrap();
+    let ends = scene.ask(1, 5);
+    assert!(!ends.contains(&RequestEnd::ConnectionLost), "{ends:?}");
+    scene.faults.set_failure_rate(FailingCalls::Thread, 0).unwrap();
+    assert!(until(|| served(&scene.ask(scene.faults.injected_failures().unwrap() * 1000, 1)) == 1));
+    assert_eq!(served(&scene.ask(900_000, 10)), 10);
+}
--- a/front/tests/soak.rs
+++ b/front/tests/soak.rs
@@ -155,8 +155,13 @@
                 self.note(format!("clock={offset}"));
             }
             1 | 2 => {
-                let all =
-                    [FailingCalls::Accept, FailingCalls::Connect, FailingCalls::Receive, FailingCalls::Send];
+                let all = [
+                    FailingCalls::Accept,
+                    FailingCalls::Connect,
+                    FailingCalls::Receive,
+                    FailingCalls::Send,
+                    FailingCalls::Thread,
+                ];
                 let calls = all[self.random.random_range(0..all.len())];
                 let rate = self.random.random_range(0..250);
                 self.faults.set_failure_rate(calls, rate).unwrap();
--- a/standins/src/faults.rs
+++ b/standins/src/faults.rs
@@ -11,7 +11,7 @@
 pub const CONTROL_VARIABLE: &str = "ELMTIDE_FAULT_CONTROL";
 const PRELOAD_VARIABLE: &str = "LD_PRELOAD";
 const LIBRARY: &str = "libelmtide_fault_shim.so";
-const WORDS: u64 = 8;
+const WORDS: u64 = 9;
 const WORD_BYTES: u64 = 8;
 
 /// What can be made to fail, and the place of its rate in the control file.
@@ -27,11 +27,13 @@
     Send = 4,
     /// `write`, `fsync`, `fdatasync` and `rename` of files.
     Disk = 5,
+    /// The start of a thread.
+    Thread = 6,
 }
 
 const WALL_CLOCK_OFFSET_WORD: u64 = 0;
-const INJECTED_FAILURES_WORD: u64 = 6;
-const RANDOM_STATE_WORD: u64 = 7;
+const INJECTED_FAILURES_WORD: u64 = 7;
+const RANDOM_STATE_WORD: u64 = 8;
 
 /// The faults of one process.
 #[derive(Debug)]
