Let no attempt follow one that a silent server may still run, where copies are forbidden

Cause: an attempt that was called off, or whose connection this side closed over the server's silence, counted as ended (Router::send took any end; connection.rs told Broke for both sides' closes); a server that hangs or is cut off had not heard of it when the next attempt began. Ruled out: resets and answers, which the server knows; never_mind lost on a live link. What may be repeated is refused at once, what may not fails. The tests fail without it.

--- a/front/src/client/connection.rs
+++ b/front/src/client/connection.rs
@@ -157,9 +157,13 @@
 
     /// Ends the connection and all that is open on it.
     fn close(&self, inputs: &Sender<Input>) {
-        let open: Vec<_> = self.streams().close().collect();
+        let (open, by_us) = {
+            let mut streams = self.streams();
+            (streams.close().collect::<Vec<_>>(), streams.is_shut_by_us())
+        };
         self.shut();
-        open.into_iter().for_each(|(purpose, progress)| end(purpose, progress, inputs));
+        let returned = if by_us { Returned::Abandoned } else { Returned::Broke };
+        open.into_iter().for_each(|(purpose, progress)| end(purpose, progress, returned, inputs));
     }
 
     fn write(
@@ -192,7 +196,7 @@
                 Admitted::Closed => return,
                 Admitted::Skipped => continue,
                 Admitted::Overdue(purpose) => {
-                    end(purpose, Progress::NotConnected, inputs);
+                    end(purpose, Progress::NotConnected, Returned::Broke, inputs);
                     continue;
                 }
                 Admitted::Yes(tally) => tally,
@@ -288,9 +292,9 @@
 }
 
 /// Tells the engine that the connection has failed this.
-fn end(purpose: Purpose, progress: Progress, inputs: &Sender<Input>) {
+fn end(purpose: Purpose, progress: Progress, returned: fn(Progress) -> Returned, inputs: &Sender<Input>) {
     let input = match purpose {
-        Purpose::Attempt(key) => Input::Returned { key, returned: Returned::Broke(progress) },
+        Purpose::Attempt(key) => Input::Returned { key, returned: returned(progress) },
         Purpose::Probe(member) => Input::Probed { member, outcome: progress.broken(), latency: 0.0 },
         Purpose::GivenUp | Purpose::Ping => return,
     };
--- a/front/src/client/streams.rs
+++ b/front/src/client/streams.rs
@@ -140,6 +140,8 @@
     answered: VecDeque<Token>,
     turns: u64,
     closed: bool,
+    /// By this side, over the other side's silence.
+    is_shut_by_us: bool,
     /// Takes nothing new; closed once nothing is open.
     retired: bool,
     last_used: Instant,
@@ -163,6 +165,7 @@
             answered: VecDeque::new(),
             turns: 0,
             closed: false,
+            is_shut_by_us: false,
             retired: false,
             last_used: now,
             stale,
@@ -351,8 +354,7 @@
             Reading::Nothing | Reading::Answer(_) => self.stuck = 0,
         }
         if self.reading == Reading::Line && self.stuck >= STALLED {
-            self.closed = true;
-            return Look::Shut;
+            return self.shut();
         }
         let out = |s: &Slot| matches!(s.purpose, Purpose::Attempt(_)) && s.progress.may_have_run();
         let owes = self.slots.values().any(out);
@@ -368,8 +370,7 @@
         let cut = self.slots.values().any(|s| s.progress == Progress::PartOfAnswer);
         let useless = self.quiet >= if cut { STALLED } else { MUTE };
         if (cut || self.asked) && useless {
-            self.closed = true;
-            return Look::Shut;
+            return self.shut();
         }
         if may_ask && !cut && !self.asked && self.quiet >= self.patience {
             (self.asked, self.quiet) = (true, 0);
@@ -378,6 +379,17 @@
         Look::Leave
     }
 
+    /// Nothing more is expected of the other side.
+    fn shut(&mut self) -> Look {
+        (self.closed, self.is_shut_by_us) = (true, true);
+        Look::Shut
+    }
+
+    /// This side has closed it over the other side's silence.
+    pub fn is_shut_by_us(&self) -> bool {
+        self.is_shut_by_us
+    }
+
     /// The question whether the node is still there goes out under this tag.
     pub fn asks(&mut self, ping: &Token, now: Instant) {
         self.turns += 1;
--- a/front/src/engine/attempts.rs
+++ b/front/src/engine/attempts.rs
@@ -86,7 +86,8 @@
         match action {
             Action::Serve { .. } => self.begin_attempt(router, action),
             Action::Cancel { id, attempt } => {
-                self.abandon_attempt(AttemptKey { id, attempt }, |_| Outcome::Cancelled)
+                let outcome = self.outcomes_of_cancelled();
+                self.abandon_attempt(AttemptKey { id, attempt }, outcome)
             }
             Action::Refuse { id, retry_after } => {
                 let wait_ms = retry_after.map(|ms| ms.max(0.0) as u64);
@@ -193,6 +194,25 @@
         maintenance.sent(&servers, work);
     }
 
+    /// How an attempt ends whose connection this side has closed. Where a second copy is forbidden, one that may have run may
+    /// run still.
+    pub(super) fn outcome_of_abandoned(&self, progress: Progress) -> Outcome {
+        if self.settings.second_copies {
+            progress.broken()
+        } else {
+            progress.timed_out()
+        }
+    }
+
+    /// How an attempt ends that is called off. Where a second copy is forbidden, one of which nothing was written is told
+    /// apart: it may be followed by another.
+    fn outcomes_of_cancelled(&self) -> fn(Progress) -> Outcome {
+        if self.settings.second_copies {
+            return |_| Outcome::Cancelled;
+        }
+        |progress| if progress.may_have_run() { Outcome::Cancelled } else { Outcome::Moot }
+    }
+
     pub(super) fn abandon_attempt(&mut self, key: AttemptKey, outcome: impl FnOnce(Progress) -> Outcome) {
         let out = self.exchanges.get_mut(key.id).is_some_and(|e| e.is_out(key.attempt));
         if let Some(progress) = out.then(|| self.upstream.give_up(key)).flatten() {
--- a/front/src/exchange.rs
+++ b/front/src/exchange.rs
@@ -218,8 +218,16 @@
 /// How an attempt came back.
 #[derive(Debug)]
 pub enum Returned {
-    Answered { outcome: Outcome, note: Note, copy: Option<Copy> },
+    Answered {
+        outcome: Outcome,
+        note: Note,
+        copy: Option<Copy>,
+    },
+    /// Its connection was ended by the other side, or could not be used.
     Broke(Progress),
+    /// Its connection was closed by this side over the server's silence: where the server hangs or is cut off it has not heard
+    /// of that, and may still work on it.
+    Abandoned(Progress),
 }
 
 /// The client side as the engine sees it. No call may block.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,6 +54,7 @@
 
 mod interface;
 mod logic;
+mod open_requests;
 
 pub use interface::*;
 pub use logic::{Ring, Router};
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,6 +5,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::interface::*;
+use crate::open_requests::{Ask, Attempt, OpenRequest};
 
 // ---- Constants: value, // unit, reason ------------------------------------------------------------------
 
@@ -275,7 +276,7 @@
     lent: bool, // retries are lent from a budget of all fronts, and not earned
     purges: BTreeMap<Purged, Ms>,
     purges_swept: Ms,
-    open: BTreeMap<RequestId, Open>,
+    open: BTreeMap<RequestId, OpenRequest>,
     near: Guard, // strain of the links, then of the origin alone, and what may be out to each under guard
     far: Guard,
     fills: Window,
@@ -590,7 +591,8 @@
         let aim = sane(Some(class.aim)).unwrap_or(0.0) + work * sane(class.aim_stretch).unwrap_or(0.0);
         let aim_at = deadline.min(now + aim);
         let (attempts, done, streaming) = (Vec::new(), false, false);
-        self.open.insert(request.id, Open { request, work, deadline, aim_at, attempts, done, streaming });
+        self.open
+            .insert(request.id, OpenRequest { request, work, deadline, aim_at, attempts, done, streaming });
         self.advance(now, request.id, out);
     }
 
@@ -624,6 +626,10 @@
         if open.is_unusable() || tries >= most || left <= TOO_LATE || (repeat && self.retries < 1.0) {
             return false;
         }
+        // Where a second copy is forbidden, no other attempt begins while a server may still work on one.
+        if !self.set.second_copies && open.attempts.iter().any(Attempt::may_still_run) {
+            return false;
+        }
         let write = request.write || self.set.classes[usize::from(request.class.0)].write;
         let Some(cache) = self.pick_cache(now, id) else { return false };
         let aside = if tries == 0 && !write { self.former_owner(now, &request, cache) } else { None };
@@ -935,57 +941,6 @@
     }
 }
 
-#[derive(Debug)]
-struct Open {
-    request: Request,
-    work: f64,
-    deadline: Ms,
-    aim_at: Ms,
-    attempts: Vec<Attempt>,
-    done: bool,
-    streaming: bool,
-}
-
-impl Open {
-    /// Fails wherever it is tried: the fault is its own. Clients can send such requests by hundreds.
-    fn is_unusable(&self) -> bool {
-        let first = self.attempts.iter().find(|a| a.doubtful);
-        first.is_some_and(|f| self.attempts.iter().any(|a| a.doubtful && a.cache != f.cache))
-    }
-}
-
-#[derive(Debug)]
-struct Attempt {
-    cache: MemberId,
-    source: MemberId,
-    sent: Ms,
-    ask: Ask,
-    end: Option<Outcome>, // none while it is out
-    doubtful: bool,       // an error that tells nothing of its cause
-}
-
-impl Attempt {
-    fn may_have_run(&self) -> bool {
-        let proof = [Outcome::Full, Outcome::ConnectFailed, Outcome::Moot, Outcome::Miss];
-        self.end.is_none_or(|end| !proof.contains(&end))
-    }
-
-    /// It only looked for what is held, and found nothing: no failure, and what follows is no repeat.
-    fn missed(&self) -> bool {
-        self.end == Some(Outcome::Miss) && matches!(self.ask, Ask::Former | Ask::Look | Ask::Held)
-    }
-}
-
-/// What an attempt asks its source for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Ask {
-    Anything,
-    Former, // only what a former owner holds; it may well lack the object
-    Look,   // only what the cache holds: fills are guarded
-    Held,   // only what a parent holds: the way to the origin is guarded
-    Origin, // an origin fetch that is counted, under guard
-}
-
 /// Evidence on one member, fading with time.
 #[derive(Debug, Default)]
 struct Health {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -54,6 +54,37 @@
     }
 }
 
+/// Where second copies are not allowed, an end that only this side has seen is none at the server: what may be repeated is
+/// refused, so that its client tries again; what may not fails. An end that the server has told is followed by another attempt.
+#[test]
+fn no_attempt_follows_one_that_may_still_run_where_second_copies_are_not_allowed() {
+    let only_seen_here = [Outcome::Timeout, Outcome::Cancelled];
+    let told = [Outcome::Full, Outcome::ConnectFailed, Outcome::Moot, Outcome::Reset, Outcome::Error];
+    let alone = Settings { second_copies: false, ..settings() };
+    for outcome in only_seen_here {
+        let mut front = Front::new(alone.clone(), fleet());
+        front.ask(1, 1);
+        assert!(matches!(front.reply(1, 0, outcome)[..], [Action::Refuse { .. }]), "{outcome:?}");
+        let unsafe_class = Settings { classes: vec![class(Repeat::Unsafe)], ..alone.clone() };
+        let mut front = Front::new(unsafe_class, fleet());
+        front.ask(1, 1);
+        assert!(matches!(front.reply(1, 0, outcome)[..], [Action::Fail { .. }]), "{outcome:?}");
+        let mut front = Front::new(settings(), fleet());
+        front.ask(1, 1);
+        assert!(sent(&front.reply(1, 0, outcome)).is_some(), "{outcome:?}, where they are allowed");
+    }
+    for outcome in told {
+        let mut front = Front::new(alone.clone(), fleet());
+        front.ask(1, 1);
+        assert!(sent(&front.reply(1, 0, outcome)).is_some(), "{outcome:?}");
+    }
+    // Nor later, when another attempt before it has been told.
+    let mut front = Front::new(alone, fleet());
+    front.ask(1, 1);
+    assert!(sent(&front.reply(1, 0, Outcome::Error)).is_some());
+    assert!(matches!(front.reply(1, 1, Outcome::Timeout)[..], [Action::Refuse { .. }]));
+}
+
 #[test]
 fn never_two_attempts_out_where_second_copies_are_not_allowed() {
     let mut front = Front::new(Settings { second_copies: false, ..settings() }, fleet());
