Put a faulty link between front and node into the soak

Cause: the soak had faults of the process, of nodes and of operators, but none of the way between them. Change: a TCP proxy as a stand-in (delay, pieces down to a byte, throttle, silence, reset), drawn by the soak beside its other faults. Tests and stand-ins only.

--- a/front/tests/soak.rs
+++ b/front/tests/soak.rs
@@ -6,7 +6,7 @@
 
 mod common;
 
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::ops::Range;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -15,6 +15,7 @@
 use elmtide_rules::front_drain::{check_answers, check_drain, Breach, ClientConnection};
 use elmtide_standins::faults::{FailingCalls, Faults};
 use elmtide_standins::node::{runs, Behaviour, Node, Origin};
+use elmtide_standins::tcp_proxy::{LinkFaults, TcpProxy};
 use elmtide_standins::until;
 use elmtide_standins::web_server::{ConnectionRecord, SendingWebServer, WebServerConnection, Workload};
 use rand::rngs::StdRng;
@@ -97,6 +98,7 @@
     management: SocketAddr,
     faults: Faults,
     node: Node,
+    link: TcpProxy,
     clients: Vec<Client>,
     crowd: Vec<TcpStream>,
     epoch: Instant,
@@ -108,8 +110,10 @@
     fn start(seed: u64) -> Run {
         let mut random = StdRng::seed_from_u64(seed);
         let (mut program, management, faults) = start_managed_with_faults(seed);
-        let listener = program.listeners.remove("s-1").unwrap();
-        let node = Node::start("s-1", listener, &Arc::new(Origin::default()), seed).unwrap();
+        let own = TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = own.local_addr().unwrap();
+        let node = Node::start("s-1", own, &Arc::new(Origin::default()), seed).unwrap();
+        let link = TcpProxy::start(program.listeners.remove("s-1").unwrap(), at).unwrap();
         let deadline_ms: u32 = random.random_range(500..4500);
         program.spoil("\"HardLimitMs\":900", &format!("\"HardLimitMs\":{deadline_ms}"));
         if random.random_bool(0.5) {
@@ -128,7 +132,19 @@
         let outcome = Outcome { faults: vec![format!("deadline={deadline_ms}")], ..Outcome::default() };
         let epoch = Instant::now();
         let crowd = Vec::new();
-        Run { random, program, management, faults, node, clients, crowd, epoch, longest_deadline, outcome }
+        Run {
+            random,
+            program,
+            management,
+            faults,
+            node,
+            link,
+            clients,
+            crowd,
+            epoch,
+            longest_deadline,
+            outcome,
+        }
     }
 
     /// Lets time pass while clients go on.
@@ -148,7 +164,7 @@
 
     /// Draws one fault, or the end of some.
     fn inject(&mut self) {
-        match self.random.random_range(0..9) {
+        match self.random.random_range(0..11) {
             0 => {
                 let offset = [HOUR_MS, -HOUR_MS, 7000, -7000, 0][self.random.random_range(0..5)];
                 self.faults.set_wall_clock_offset(offset).unwrap();
@@ -186,10 +202,33 @@
                 self.crowd = (0..CROWD).filter_map(connect).collect();
                 self.note("crowd");
             }
+            7 => {
+                self.link.reset_all();
+                self.note("link(reset)");
+            }
+            8 | 9 => self.change_link(),
             _ => self.change_node(),
         }
     }
 
+    /// The way between the front and its node.
+    fn change_link(&mut self) {
+        let faults = LinkFaults {
+            delay: Duration::from_millis(self.random.random_range(0..150)),
+            max_piece: [1, 7, 1000, 64 * 1024][self.random.random_range(0..4)],
+            bytes_per_second: [0, 0, 500_000][self.random.random_range(0..3)],
+            is_silent: self.random.random_bool(0.25),
+        };
+        self.link.set(faults);
+        self.note(format!(
+            "link(delay={},piece={},rate={},silent={})",
+            faults.delay.as_millis(),
+            faults.max_piece,
+            faults.bytes_per_second,
+            faults.is_silent
+        ));
+    }
+
     fn change_node(&mut self) {
         let behaviour = Behaviour {
             delay: Duration::from_millis(self.random.random_range(0..400)),
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod node;
 pub mod resolver;
 pub mod shopper;
+pub mod tcp_proxy;
 pub mod till;
 pub mod web_server;
 
