Show that signups come back by themselves after a disk that failed for a while

Cause: the shim could fail disks, and no test with processes did. Change: one test: every write, sync and rename of files fails for 3 s from the start; signups are refused, nothing is sent on, and they are taken again once the disk is well, without a restart; the end leaves them to the next process.

--- a/front/tests/process_faults.rs
+++ b/front/tests/process_faults.rs
@@ -2,11 +2,11 @@
 
 mod common;
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use common::{accept, call_management, start_under_faults, Program};
+use common::{accept, call_management, folder, start_under_faults, Program, PATIENCE};
 use elmtide_standins::faults::{FailingCalls, Faults};
 use elmtide_standins::node::{Behaviour, Node, Origin};
 use elmtide_standins::until;
@@ -221,3 +221,48 @@
     assert!(until(|| served(&scene.ask(scene.faults.injected_failures().unwrap() * 1000, 1)) == 1));
     assert_eq!(served(&scene.ask(900_000, 10)), 10);
 }
+
+fn signup(front: std::net::SocketAddr, key: &str) -> String {
+    let mut stream = std::net::TcpStream::connect(front).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let head =
+        "POST /api/v2/plan-signup HTTP/1.1\r\nHost: test\r\nConnection: close\r\nX-Item: 7f3a9c21e0b4d655";
+    write!(stream, "{head}\r\nIdempotency-Key: {key}\r\nContent-Length: {}\r\n\r\n{key}", key.len()).unwrap();
+    let mut reply = String::new();
+    stream.read_to_string(&mut reply).unwrap();
+    reply.split(' ').nth(1).unwrap_or_default().to_owned()
+}
+
+/// The folder that is left to the next process can't be written for a while: signups are refused meanwhile, and taken again by
+/// itself once the disk is well; what ran is left in order at the end.
+#[test]
+fn a_disk_that_fails_for_a_while_refuses_signups_and_recovers_by_itself() {
+    const EDGE: &str = "zone = \"edge.test.\"\n[[front]]\nname = \"n1\"\nhttp = [\"127.0.0.1:0\"]\n";
+    let folder = folder();
+    let faults = Faults::new(&folder, 31).unwrap();
+    faults.set_failure_rate(FailingCalls::Disk, 1000).unwrap();
+    let own = folder.join("lasting");
+    std::fs::create_dir(&own).unwrap();
+    let lasting = own.to_string_lossy().into_owned();
+    let environment = faults.environment();
+    let mut environment: Vec<(&str, &str)> = environment.iter().map(|(n, v)| (*n, &v[..])).collect();
+    environment.push(("TMPDIR", &lasting));
+    let mut program = Program::start_in(folder, &["s-1"], Some(EDGE), 1024, &environment);
+    let listener = program.listeners.remove("s-1").unwrap();
+    let node = Node::start("s-1", listener, &Arc::new(Origin::default()), 1).unwrap();
+    let http = program.edge("http", 0);
+    // Longer than a start without a file of the process before waits.
+    let end = Instant::now() + Duration::from_millis(3000);
+    while Instant::now() < end {
+        assert_eq!(signup(http, "early"), "503");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(node.asked(), 0, "refused before anything was sent on");
+    assert!(faults.injected_failures().unwrap() > 0);
+    faults.set_failure_rate(FailingCalls::Disk, 0).unwrap();
+    assert!(until(|| signup(http, "late") == "200"), "no restart by hand");
+    assert_eq!(signup(http, "late"), "200", "the same again");
+    assert_eq!(node.asked(), 1, "which ran once");
+    program.signal("TERM");
+    program.log.wait("ledger: left to the next process", 0);
+}
