Leave a front that is short of processor time 0.6 s at the end of a drain

Cause: connections were closed 0.4 s before the operators' limit, and a front that is held to its part of a core may take a few tenths for the cut-off, the last answers and the closes. Ruled out: starting to refuse earlier, which is priced; only requests that are over 2 s old lose by this. Change: the cut-off at 3.0 s and the release at 3.4 s, two constants of core/drain, their table and the pages. Measured: core/drain's 5 tests pass, with 0.5 s asked between the release and the limit.

--- a/core/drain/src/lib.rs
+++ b/core/drain/src/lib.rs
@@ -36,11 +36,11 @@
     ///
     /// Operators allow 4 s in all. Readiness is asked for ten times a second and new connections stop 0.2 s after it says
     /// no, so that a second is enough for most connections to have an idle moment of their own. The rest leaves an admitted
-    /// request at least 2.3 s, and 0.4 s for the last answers to be taken in.
+    /// request at least 2 s, and 0.6 s for a front that is short of processor time, and for the last answers to be taken in.
     pub const RELEASE_CLIENTS: DrainSchedule = DrainSchedule {
         reject_after: Duration::from_millis(1000),
-        cut_off_after: Duration::from_millis(3300),
-        release_after: Duration::from_millis(3600),
+        cut_off_after: Duration::from_millis(3000),
+        release_after: Duration::from_millis(3400),
     };
 
     /// The drain of a front that was told to end, by the longest deadline of its classes.
--- a/core/drain/tests/phases.rs
+++ b/core/drain/tests/phases.rs
@@ -21,7 +21,7 @@
         SCHEDULE.cut_off_after + TURN < SCHEDULE.release_after,
         "answers of the cut-off are written before"
     );
-    assert!(SCHEDULE.release_after + 3 * TURN < OPERATORS_LIMIT);
+    assert!(SCHEDULE.release_after + 5 * TURN < OPERATORS_LIMIT);
 }
 
 #[test]
@@ -30,8 +30,8 @@
         (0, DrainPhase::Settling),
         (999, DrainPhase::Settling),
         (1000, DrainPhase::Rejecting),
-        (3300, DrainPhase::CuttingOff),
-        (3600, DrainPhase::Releasing),
+        (3000, DrainPhase::CuttingOff),
+        (3400, DrainPhase::Releasing),
         (86_400_000, DrainPhase::Releasing),
     ];
     for (ms, phase) in table {
@@ -47,7 +47,7 @@
     for phase in [DrainPhase::Rejecting, DrainPhase::CuttingOff, DrainPhase::Releasing] {
         assert_eq!(phase.admission(), Admission::Reject);
     }
-    assert_eq!(SCHEDULE.time_until_cut_off(Duration::from_millis(900)), Duration::from_millis(2400));
+    assert_eq!(SCHEDULE.time_until_cut_off(Duration::from_millis(900)), Duration::from_millis(2100));
     assert_eq!(SCHEDULE.time_until_cut_off(Duration::from_secs(9)), Duration::ZERO);
 }
 
