Look for signals every 50 ms, since the write that wakes their thread may fail

Cause: signals.forever() sleeps until the handler has written a byte to a pipe of its own, and the handler passes over a failed write: with failing sends a SIGTERM was not seen up to the kill, and what had been read by then had no answer. Ruled out: the drain itself, which never began; a starved process. Change: the thread of the signals asks for what has come every 50 ms (front/src/lifecycle/serve.rs). Measured: the new test (every send fails, then USR1 and TERM) failed without the change and passes.

--- a/front/src/lifecycle/serve.rs
+++ b/front/src/lifecycle/serve.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::sync::atomic::Ordering::Relaxed;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crossbeam_channel::{bounded, Receiver, Sender};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
@@ -33,6 +34,8 @@
 
 /// Events that wait for the engine at most; whoever brings more waits.
 const MAX_QUEUED_INPUTS: usize = 8192;
+/// How often it is checked whether a signal has come.
+const SIGNAL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// The part of the memory that the bytes of requests may take.
 const REQUEST_MEMORY_DIVISOR: usize = 8;
 
@@ -166,12 +169,16 @@
 {
     let (term, terms) = bounded(1);
     let run = move || {
-        for signal in signals.forever() {
-            match signal {
-                SIGUSR1 => eprintln!("{counters}"),
-                SIGHUP => reload.run(),
-                _ => drop(term.try_send(())),
+        // Not `forever()`: the handler wakes it by a write that may fail, and a signal would wait for the next one.
+        loop {
+            for signal in signals.pending() {
+                match signal {
+                    SIGUSR1 => eprintln!("{counters}"),
+                    SIGHUP => reload.run(),
+                    _ => drop(term.try_send(())),
+                }
             }
+            std::thread::sleep(SIGNAL_CHECK_INTERVAL);
         }
     };
     spawn_at_start("signals", run).map_err(|e| format!("signal thread: {e}"))?;
--- a/front/tests/process_faults.rs
+++ b/front/tests/process_faults.rs
@@ -210,6 +210,18 @@
     assert_eq!(served(&scene.ask(1, 10)), 10);
 }
 
+/// A signal whose handler can't wake its thread is seen all the same, and no second one is needed.
+#[test]
+fn a_signal_is_seen_while_every_send_fails() {
+    let mut scene = Scene::start(26);
+    scene.faults.set_failure_rate(FailingCalls::Send, 1000).unwrap();
+    scene.program.signal("USR1");
+    scene.program.log.wait("counters ", 0);
+    scene.program.signal("TERM");
+    scene.program.log.wait("draining: ", 0);
+    assert!(until(|| scene.program.child.try_wait().unwrap().is_some()), "it ends");
+}
+
 /// Threads can't be started for a while: connections to cache nodes can't be opened, and every request has an answer.
 #[test]
 fn threads_that_can_not_be_started_lose_no_request() {
