Record a request's end before a web server's stand-in counts it as closed

Cause: a_step_of_the_wall_clock_changes_nothing failed once in a run of process_faults: the stand-in took a request out of its open ones before it wrote down how it ended, and the test read the record in between. Ruled out: the program; the answer had come, and the test unwrapped an end that was not there yet. Change: both happen under one lock, for answers, aborts and lost connections.

--- a/standins/src/web_server.rs
+++ b/standins/src/web_server.rs
@@ -273,11 +273,11 @@
             let request_id = open.iter().find(|(_, p)| **p == place).map(|(id, _)| *id);
             if let Some(id) = request_id {
                 open.remove(&id);
+                end_request(&self.shared, place, RequestEnd::Aborted);
             }
             request_id
         };
         let Some(request_id) = request_id else { return Ok(()) };
-        end_request(&self.shared, place, RequestEnd::Aborted);
         self.write(&record(FCGI_ABORT_REQUEST, request_id, b""))
     }
 
@@ -357,8 +357,9 @@
             Ok((FCGI_STDOUT, id, content)) => bodies.entry(id).or_default().extend(content),
             Ok((FCGI_END_REQUEST, id, content)) => {
                 let body = bodies.remove(&id).unwrap_or_default();
-                let place = lock(&shared.open).remove(&id);
-                if let Some(place) = place {
+                // Locked until the end is in the record: who sees no open request finds the end of each there.
+                let mut open = lock(&shared.open);
+                if let Some(place) = open.remove(&id) {
                     end_request(shared, place, parse_end(&body, &content));
                 }
             }
@@ -366,9 +367,11 @@
             Err(why) => break why,
         }
     };
-    let open = std::mem::take(&mut *lock(&shared.open));
-    for place in open.into_values() {
-        end_request(shared, place, RequestEnd::ConnectionLost);
+    {
+        let mut open = lock(&shared.open);
+        for place in std::mem::take(&mut *open).into_values() {
+            end_request(shared, place, RequestEnd::ConnectionLost);
+        }
     }
     {
         let mut record = lock(&shared.record);
