--- a/front/src/client/connection.rs
+++ b/front/src/client/connection.rs
@@ -10,9 +10,12 @@
 use crossbeam_channel::{bounded, Receiver, Sender};
 use elmtide::{MemberId, Note, Outcome};
 
+use crate::client::shortage::Shortage;
 use crate::client::streams::{Admitted, Look, Opening, Purpose, Streams, Turn};
 use crate::exchange::{AttemptKey, Copy, Input, Progress, Returned, Token};
 use crate::memory::counters::Counters;
+use crate::process::backoff::Backoff;
+use crate::process::socket_error::{remedy, Call, Remedy};
 use crate::process::spawn;
 use crate::wire::lines::{Answer, Word, LONGEST_LINE};
 
@@ -22,6 +25,11 @@
 const QUEUE: usize = 512;
 /// A peer that takes in nothing for so long is given up; what it was being sent is not whole.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+/// A shortage of a moment is waited out; one that lasts is no reason to keep a request waiting.
+const SHORTAGE_PATIENCE: Duration = Duration::from_millis(250);
+/// Pauses between tries to connect while this machine is short of something: the first, and the longest.
+const CONNECT_PAUSE: (Duration, Duration) = (Duration::from_millis(2), Duration::from_millis(20));
+
 /// Bytes for the writer: those of an opening, or what is said of one that is written already.
 #[derive(Debug)]
 struct Frame {
@@ -47,6 +55,17 @@
     pub patience: u32,
     /// What has waited so long to be written is not written any more.
     pub stale: Duration,
+    /// Whether this machine is short of what a connection takes.
+    pub shortage: Shortage,
+}
+
+/// Whose doing the end of a connection is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EndCause {
+    /// The peer's, or that of the way to it.
+    Peer,
+    /// This machine was short of something before anything was written.
+    LocalShortage,
 }
 
 impl Connection {
@@ -59,10 +78,11 @@
         spawn("node-writer", move || {
             // A panic stops at the connection: what is open on it still ends.
             let run = || own.write(&peer, &queue, &inputs, &counters);
-            if catch_unwind(AssertUnwindSafe(run)).is_err() {
+            let cause = catch_unwind(AssertUnwindSafe(run)).unwrap_or_else(|_| {
                 eprintln!("node {}: connection dropped after a panic", peer.addr);
-            }
-            own.close(&inputs);
+                EndCause::Peer
+            });
+            own.close(&inputs, cause);
         })?;
         Ok(connection)
     }
@@ -156,24 +176,59 @@
     }
 
     /// Ends the connection and all that is open on it.
-    fn close(&self, inputs: &Sender<Input>) {
+    fn close(&self, inputs: &Sender<Input>, cause: EndCause) {
         let (open, by_us) = {
             let mut streams = self.streams();
             (streams.close().collect::<Vec<_>>(), streams.is_shut_by_us())
         };
         self.shut();
-        let returned = if by_us { Returned::Abandoned } else { Returned::Broke };
+        let returned = match cause {
+            EndCause::LocalShortage => |_| Returned::NotSent,
+            EndCause::Peer if by_us => Returned::Abandoned,
+            EndCause::Peer => Returned::Broke,
+        };
         open.into_iter().for_each(|(purpose, progress)| end(purpose, progress, returned, inputs));
     }
 
+    /// Connects, as soon as this machine has what it takes.
+    fn connect(&self, peer: &Peer) -> Result<TcpStream, EndCause> {
+        // What waits on the connection is not written after that either.
+        let until = Instant::now() + peer.stale.min(SHORTAGE_PATIENCE);
+        let mut backoff = Backoff::new(CONNECT_PAUSE.0, CONNECT_PAUSE.1);
+        loop {
+            let error = match TcpStream::connect_timeout(&peer.addr, peer.connect_timeout) {
+                Ok(stream) => {
+                    peer.shortage.end();
+                    return Ok(stream);
+                }
+                Err(error) => error,
+            };
+            match remedy(Call::Connect, &error) {
+                Remedy::RetryNow | Remedy::BackOff if Instant::now() < until && !self.is_closed() => {
+                    std::thread::sleep(backoff.pause());
+                }
+                Remedy::RetryNow | Remedy::BackOff => {
+                    peer.shortage.observe(Instant::now());
+                    return Err(EndCause::LocalShortage);
+                }
+                Remedy::WaitUntilReady | Remedy::DropConnection | Remedy::GiveUp => {
+                    return Err(EndCause::Peer)
+                }
+            }
+        }
+    }
+
     fn write(
         self: &Arc<Self>,
         peer: &Peer,
         queue: &Receiver<Frame>,
         inputs: &Sender<Input>,
         counters: &Counters,
-    ) {
-        let Ok(stream) = TcpStream::connect_timeout(&peer.addr, peer.connect_timeout) else { return };
+    ) -> EndCause {
+        let stream = match self.connect(peer) {
+            Ok(stream) => stream,
+            Err(cause) => return cause,
+        };
         counters.node_connections.fetch_add(1, Relaxed);
         let _ = stream.set_nodelay(true);
         let _ = stream.set_write_timeout(Some(WRITE_TIMEOUT));
@@ -185,15 +240,15 @@
             if catch_unwind(AssertUnwindSafe(run)).is_err() {
                 eprintln!("node connection: reader stopped after a panic");
             }
-            own.close(&input);
+            own.close(&input, EndCause::Peer);
         });
         if started.is_err() {
-            return;
+            return EndCause::LocalShortage;
         }
         while let Ok(Frame { tag, turn, bytes }) = queue.recv() {
             let admitted = self.streams().admit(&tag, turn, Instant::now());
             let tally = match admitted {
-                Admitted::Closed => return,
+                Admitted::Closed => break,
                 Admitted::Skipped => continue,
                 Admitted::Overdue(purpose) => {
                     end(purpose, Progress::NotConnected, Returned::Broke, inputs);
@@ -203,12 +258,13 @@
             };
             if write_counted(&stream, &bytes) < bytes.len() {
                 self.streams().fell_short(&tag);
-                return;
+                break;
             }
             if let Some(tally) = tally {
                 tally.attempts.fetch_add(1, Relaxed);
             }
         }
+        EndCause::Peer
     }
 
     fn read(&self, stream: &TcpStream, inputs: &Sender<Input>) {
@@ -295,7 +351,11 @@
 fn end(purpose: Purpose, progress: Progress, returned: fn(Progress) -> Returned, inputs: &Sender<Input>) {
     let input = match purpose {
         Purpose::Attempt(key) => Input::Returned { key, returned: returned(progress) },
-        Purpose::Probe(member) => Input::Probed { member, outcome: progress.broken(), latency: 0.0 },
+        Purpose::Probe(member) => match returned(progress) {
+            // Nothing was asked, so nothing is known.
+            Returned::NotSent => return,
+            _ => Input::Probed { member, outcome: progress.broken(), latency: 0.0 },
+        },
         Purpose::GivenUp | Purpose::Ping => return,
     };
     let _ = inputs.send(input);
--- a/front/src/client/mod.rs
+++ b/front/src/client/mod.rs
@@ -4,4 +4,5 @@
 pub mod connection;
 pub mod pool;
 pub mod resolver;
+pub mod shortage;
 pub mod streams;
--- a/front/src/client/pool.rs
+++ b/front/src/client/pool.rs
@@ -9,6 +9,7 @@
 use elmtide::{MemberId, Ms};
 
 use crate::client::connection::{Connection, Peer};
+use crate::client::shortage::Shortage;
 use crate::client::streams::{Opening, Purpose, Room, QUIET};
 use crate::exchange::*;
 use crate::memory::counters::Counters;
@@ -54,6 +55,7 @@
     connections: BTreeMap<MemberId, Vec<Arc<Connection>>>,
     out: HashMap<AttemptKey, (Arc<Connection>, Token)>,
     probes: u64,
+    shortage: Shortage,
     inputs: Sender<Input>,
     counters: Arc<Counters>,
 }
@@ -67,6 +69,7 @@
             connections: BTreeMap::new(),
             out: HashMap::new(),
             probes: 0,
+            shortage: Shortage::new(Instant::now()),
             inputs,
             counters,
         }
@@ -79,11 +82,16 @@
     }
 
     /// Puts a request on a connection to this member, an open one or a new one.
-    fn dispatch(&mut self, member: MemberId, opening: &Opening<'_>, frame: &[u8]) -> Option<Arc<Connection>> {
-        let addr = self.members.get(member).and_then(|m| m.addr)?;
+    fn dispatch(
+        &mut self,
+        member: MemberId,
+        opening: &Opening<'_>,
+        frame: &[u8],
+    ) -> Result<Arc<Connection>, SendError> {
+        let addr = self.members.get(member).and_then(|m| m.addr).ok_or(SendError::NoAddress)?;
         let open = self.connections.entry(member).or_default();
         if let Some(found) = open.iter().find(|c| c.try_send(opening, frame.to_vec())) {
-            return Some(found.clone());
+            return Ok(found.clone());
         }
         if self.is_full() {
             // Those that have ended are no use, and are counted only until the next sweep.
@@ -92,15 +100,20 @@
         if self.is_full() {
             let room = Room { streams: self.limits.streams_per_connection, alone: false };
             let many = Opening { room, ..opening.clone() };
-            let open = self.connections.get(&member)?;
-            return open.iter().find(|c| c.try_send(&many, frame.to_vec())).cloned();
+            let mut open = self.connections.get(&member).into_iter().flatten();
+            let found = open.find(|c| c.try_send(&many, frame.to_vec()));
+            return found.cloned().ok_or(SendError::NoConnection);
+        }
+        if self.shortage.lasts(Instant::now()) {
+            return Err(SendError::NoConnection);
         }
         let Limits { connect_timeout, patience, stale, .. } = self.limits;
-        let peer = Peer { addr, connect_timeout, patience, stale };
-        let connection = Connection::open(peer, self.inputs.clone(), self.counters.clone()).ok()?;
+        let peer = Peer { addr, connect_timeout, patience, stale, shortage: self.shortage.clone() };
+        let connection = Connection::open(peer, self.inputs.clone(), self.counters.clone())
+            .map_err(|_| SendError::NoConnection)?;
         let sent = connection.try_send(opening, frame.to_vec());
         self.connections.entry(member).or_default().push(connection.clone());
-        sent.then_some(connection)
+        sent.then_some(connection).ok_or(SendError::NoConnection)
     }
 
     fn is_full(&self) -> bool {
@@ -120,7 +133,7 @@
 }
 
 impl Upstream for Pool {
-    fn send(&mut self, order: &Order) -> Result<(), Progress> {
+    fn send(&mut self, order: &Order) -> Result<(), SendError> {
         let passed = &order.passed;
         let source = order.source.and_then(|id| self.members.get(id)).map(|m| m.name.clone());
         let want = Want {
@@ -150,8 +163,7 @@
             guarded: order.guarded,
             members: [Some(order.cache), order.source],
         };
-        let connection = self.dispatch(order.cache, &opening, &want.encode());
-        let connection = connection.ok_or(Progress::NotConnected)?;
+        let connection = self.dispatch(order.cache, &opening, &want.encode())?;
         self.out.insert(order.key, (connection, passed.job.clone()));
         Ok(())
     }
@@ -184,8 +196,8 @@
         self.out.get(&key).is_some_and(|(connection, tag)| connection.may_have_run(tag, key))
     }
 
-    fn probe(&mut self, member: MemberId) -> bool {
-        let Some(tag) = self.tag() else { return false };
+    fn probe(&mut self, member: MemberId) -> Result<(), SendError> {
+        let tag = self.tag().ok_or(SendError::NoConnection)?;
         let opening = Opening {
             tag: &tag,
             purpose: Purpose::Probe(member),
@@ -195,7 +207,7 @@
             guarded: false,
             members: [Some(member), None],
         };
-        self.dispatch(member, &opening, &there(tag.as_str())).is_some()
+        self.dispatch(member, &opening, &there(tag.as_str())).map(drop)
     }
 
     fn look(&mut self) {
--- a/front/src/engine/attempts.rs
+++ b/front/src/engine/attempts.rs
@@ -8,7 +8,7 @@
 use super::budget_client::RETRIES;
 use super::timers::Timer;
 use super::{priority_if, Engine};
-use crate::exchange::{Answer, AttemptKey, Copy, Order, Progress, Upstream};
+use crate::exchange::{Answer, AttemptKey, Copy, Order, Progress, SendError, Upstream};
 use crate::memory::exchanges::Exchanges;
 
 /// A repeat is on its way so long before what an earlier attempt did may be forgotten: it has to get there.
@@ -106,7 +106,7 @@
                 self.timers.schedule(self.now + delay.max(0.0), Timer::Router(router, token.0));
             }
             Action::Probe { member } => {
-                if !self.upstream.probe(member) {
+                if self.upstream.probe(member) == Err(SendError::NoAddress) {
                     self.unreached.push_back(member);
                 }
             }
@@ -177,8 +177,9 @@
             "attempt: begun"
         );
         let order = Order { key, passed, cache, source, rank, max_age, mode, timeout, write_by, guarded };
-        if let Err(progress) = self.upstream.send(&order) {
-            self.ended.push_back((key, progress.broken()));
+        if let Err(error) = self.upstream.send(&order) {
+            tracing::debug!(request = id.0, attempt = attempt.0, %error, "attempt: not sent");
+            self.ended.push_back((key, error.outcome()));
         }
     }
 
--- a/front/src/engine/drain/tests.rs
+++ b/front/src/engine/drain/tests.rs
@@ -13,7 +13,8 @@
 
 use super::*;
 use crate::exchange::{
-    AttemptKey, Incoming, Input, ListSource, MembersNews, Order, Passed, Progress, Responder, Token, Upstream,
+    AttemptKey, Incoming, Input, ListSource, MembersNews, Order, Passed, Progress, Responder, SendError,
+    Token, Upstream,
 };
 use crate::memory::budget::Budget;
 use crate::memory::counters::Counters;
@@ -29,7 +30,7 @@
 }
 
 impl Upstream for MuteNode {
-    fn send(&mut self, _: &Order) -> Result<(), Progress> {
+    fn send(&mut self, _: &Order) -> Result<(), SendError> {
         Ok(())
     }
     fn ended(&mut self, _: AttemptKey) {}
@@ -46,8 +47,8 @@
     fn may_have_run(&self, _: AttemptKey) -> bool {
         self.writes
     }
-    fn probe(&mut self, _: MemberId) -> bool {
-        true
+    fn probe(&mut self, _: MemberId) -> Result<(), SendError> {
+        Ok(())
     }
     fn learn(&mut self, _: &MembersNews) {}
     fn look(&mut self) {}
--- a/front/src/engine/mod.rs
+++ b/front/src/engine/mod.rs
@@ -193,6 +193,7 @@
                 Returned::Broke(progress) => {
                     self.finish_attempt(key, progress.broken(), elmtide::Note::Absent, None)
                 }
+                Returned::NotSent => self.finish_attempt(key, Outcome::Moot, elmtide::Note::Absent, None),
                 Returned::Abandoned(progress) => {
                     let outcome = self.outcome_of_abandoned(progress);
                     self.finish_attempt(key, outcome, elmtide::Note::Absent, None)
--- a/front/src/engine/tests.rs
+++ b/front/src/engine/tests.rs
@@ -18,7 +18,7 @@
 struct Silent(bool);
 
 impl Upstream for Silent {
-    fn send(&mut self, _: &Order) -> Result<(), Progress> {
+    fn send(&mut self, _: &Order) -> Result<(), SendError> {
         Ok(())
     }
     fn ended(&mut self, _: AttemptKey) {}
@@ -34,8 +34,8 @@
     fn may_have_run(&self, _: AttemptKey) -> bool {
         self.0
     }
-    fn probe(&mut self, _: MemberId) -> bool {
-        false
+    fn probe(&mut self, _: MemberId) -> Result<(), SendError> {
+        Err(SendError::NoAddress)
     }
     fn learn(&mut self, _: &MembersNews) {}
     fn look(&mut self) {}
@@ -156,7 +156,7 @@
 struct Recording(Arc<Mutex<Vec<Option<Ms>>>>);
 
 impl Upstream for Recording {
-    fn send(&mut self, order: &Order) -> Result<(), Progress> {
+    fn send(&mut self, order: &Order) -> Result<(), SendError> {
         self.0.lock().unwrap().push(order.max_age);
         Ok(())
     }
@@ -173,8 +173,8 @@
     fn may_have_run(&self, _: AttemptKey) -> bool {
         true
     }
-    fn probe(&mut self, _: MemberId) -> bool {
-        true
+    fn probe(&mut self, _: MemberId) -> Result<(), SendError> {
+        Ok(())
     }
     fn learn(&mut self, _: &MembersNews) {}
     fn look(&mut self) {}
@@ -268,7 +268,7 @@
 }
 
 impl Upstream for Waiting {
-    fn send(&mut self, order: &Order) -> Result<(), Progress> {
+    fn send(&mut self, order: &Order) -> Result<(), SendError> {
         self.happened.lock().unwrap().push(Happened::Sent(order.key, order.cache));
         self.out.lock().unwrap().push((order.key, [Some(order.cache), order.source]));
         self.write_by.lock().unwrap().push(order.write_by);
@@ -296,8 +296,8 @@
     fn may_have_run(&self, _: AttemptKey) -> bool {
         false
     }
-    fn probe(&mut self, _: MemberId) -> bool {
-        true
+    fn probe(&mut self, _: MemberId) -> Result<(), SendError> {
+        Ok(())
     }
     fn learn(&mut self, _: &MembersNews) {}
     fn look(&mut self) {}
@@ -467,6 +467,27 @@
     assert_eq!(*way.write_by.lock().unwrap(), [None, None]);
 }
 
+/// Attempts that this machine could not send, and attempts that their servers did not take: only the latter count against a
+/// server.
+#[test]
+fn a_shortage_of_this_machine_counts_against_no_server() {
+    let failing_after = |returned: fn() -> Returned| {
+        let way = Waiting::default();
+        let (mut engine, answers) = engine_with(&way, Repeat::Safe, true);
+        for id in 1..=20 {
+            engine.handle(request(id, 60_000.0, &answers));
+            let next = || way.out.lock().unwrap().pop().map(|(key, _)| key);
+            while let Some(key) = next() {
+                engine.handle(Input::Returned { key, returned: returned() });
+            }
+        }
+        assert_eq!(answers.lock().unwrap().len(), 20, "each request has its answer");
+        [1, 2].iter().filter(|n| engine.failing.is_failing(MemberId(**n))).count()
+    };
+    assert_eq!(failing_after(|| Returned::NotSent), 0);
+    assert_eq!(failing_after(|| Returned::Broke(Progress::NotConnected)), 2);
+}
+
 /// Cells whose part of the fills is used up: what is kept is asked for without one, but what never is kept has to be run at
 /// its source whatever its class says of repeats.
 #[test]
--- a/front/src/exchange.rs
+++ b/front/src/exchange.rs
@@ -225,15 +225,38 @@
     },
     /// Its connection was ended by the other side, or could not be used.
     Broke(Progress),
+    /// This machine was short of something: nothing was written, and it says nothing of the server.
+    NotSent,
     /// Its connection was closed by this side over the server's silence: where the server hangs or is cut off it has not heard
     /// of that, and may still work on it.
     Abandoned(Progress),
 }
 
+/// Why nothing was sent to a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SendError {
+    /// No address of it is known.
+    #[error("no address of the server is known")]
+    NoAddress,
+    /// This process has no room for another connection, or can't get a thread for it. It says nothing of the member.
+    #[error("this process can't open another connection")]
+    NoConnection,
+}
+
+impl SendError {
+    /// How an attempt ends that was not sent.
+    pub fn outcome(self) -> Outcome {
+        match self {
+            SendError::NoAddress => Outcome::ConnectFailed,
+            SendError::NoConnection => Outcome::Moot,
+        }
+    }
+}
+
 /// The client side as the engine sees it. No call may block.
 pub trait Upstream {
     /// Sends an attempt; its end comes back as an event, unless there is no way to send it at all.
-    fn send(&mut self, order: &Order) -> Result<(), Progress>;
+    fn send(&mut self, order: &Order) -> Result<(), SendError>;
     /// The attempt has come back.
     fn ended(&mut self, key: AttemptKey);
     /// Gives an attempt up and tells how far it had come; `None` if its end is on the way already.
@@ -244,8 +267,8 @@
     fn withdraw_from(&mut self, lost: &dyn Fn(MemberId) -> bool) -> Vec<AttemptKey>;
     /// Whether an attempt that is out has been written whole.
     fn may_have_run(&self, key: AttemptKey) -> bool;
-    /// False if there is no way to the member.
-    fn probe(&mut self, member: MemberId) -> bool;
+    /// Asks a member whether it is there; what comes of that comes back as an event.
+    fn probe(&mut self, member: MemberId) -> Result<(), SendError>;
     fn learn(&mut self, news: &MembersNews);
     /// Ends connections that owe answers and are of no further use.
     fn look(&mut self);
--- a/front/src/fleet/operator_socket.rs
+++ b/front/src/fleet/operator_socket.rs
@@ -9,6 +9,7 @@
 
 use crate::fleet::operator::{CallError, OperatorCalls};
 use crate::fleet::operator_client::CALL_TIMEOUT;
+use crate::process::accept::accept_until;
 use crate::process::spawn;
 
 /// Calls that are answered at a time.
@@ -26,10 +27,10 @@
     // An operator's command waits for its outcome, while others look.
     let busy = Arc::new(AtomicUsize::new(0));
     let serve = move || {
-        for stream in listener.incoming().flatten() {
+        let take = |stream: UnixStream| {
             if busy.fetch_add(1, Relaxed) >= MAX_CALLS {
                 busy.fetch_sub(1, Relaxed);
-                continue;
+                return;
             }
             let (calls, done) = (calls.clone(), busy.clone());
             let one = move || {
@@ -39,7 +40,8 @@
             if spawn("fleet-call", one).is_err() {
                 busy.fetch_sub(1, Relaxed);
             }
-        }
+        };
+        accept_until("fleet socket", &listener, || false, take);
     };
     spawn("fleet-look", serve).map(drop)
 }
--- /dev/null
+++ b/front/src/lifecycle/apply_error.rs
@@ -0,0 +1,43 @@
+//! Why a configuration of the second front is not in force.
+
+use std::io;
+
+use crate::lifecycle::edge::Listens;
+use crate::process::socket_error::{remedy, Call, Remedy};
+use crate::process::transient::is_transient;
+
+/// Why a configuration was not put in force. What was in force before stays.
+#[derive(Debug, thiserror::Error)]
+pub enum ApplyError {
+    /// The file breaks a rule, or something that it names can't be used.
+    #[error("{0}")]
+    Rejected(String),
+    /// The plan's idea of what is in force is out of date.
+    #[error("the plan was made against another state than the one in force")]
+    Stale,
+    /// An address of the file can't be bound.
+    #[error("{listens}: {error}")]
+    Address { listens: Listens, error: io::Error },
+    /// What serves an address can't be started.
+    #[error("edge: {0}")]
+    Start(io::Error),
+}
+
+impl ApplyError {
+    /// Whether the same file may be put in force a while later, without a change to it.
+    pub fn may_pass(&self) -> bool {
+        match self {
+            ApplyError::Rejected(_) | ApplyError::Stale => false,
+            ApplyError::Address { error, .. } => {
+                matches!(remedy(Call::Bind, error), Remedy::BackOff | Remedy::RetryNow)
+            }
+            ApplyError::Start(error) => is_transient(error),
+        }
+    }
+}
+
+impl From<String> for ApplyError {
+    fn from(reason: String) -> ApplyError {
+        ApplyError::Rejected(reason)
+    }
+}
--- a/front/src/lifecycle/control.rs
+++ b/front/src/lifecycle/control.rs
@@ -14,7 +14,9 @@
 use crate::lifecycle::cells::CellsInForce;
 use crate::lifecycle::edge::Edge;
 use crate::memory::counters::Counters;
-use crate::process::spawn;
+use crate::process::accept::accept_until;
+use crate::process::spawn_at_start;
+use crate::process::transient::retry_at_start;
 
 const PATIENCE: Duration = Duration::from_secs(5);
 const LONGEST: u64 = 1 << 20;
@@ -63,22 +65,24 @@
 pub fn listen(
     path: &Path,
     edge: Arc<Edge>,
-    cells: CellsInForce,
+    cells: Arc<CellsInForce>,
     counters: Arc<Counters>,
 ) -> Result<(), String> {
     // What an earlier process left behind, if nobody answers there.
     if !taken(path) {
         let _ = std::fs::remove_file(path);
     }
-    let listener = UnixListener::bind(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let listener = retry_at_start("control socket", || UnixListener::bind(path))
+        .map_err(|e| format!("{}: {e}", path.display()))?;
     let serve = move || {
-        for stream in listener.incoming().flatten() {
+        let take = |stream: UnixStream| {
             if let Err(why) = answer(stream, &edge, &cells, &counters) {
                 eprintln!("control: {why}");
             }
-        }
+        };
+        accept_until("control", &listener, || false, take);
     };
-    spawn("control", serve).map(drop).map_err(|e| e.to_string())
+    spawn_at_start("control", serve).map(drop).map_err(|e| e.to_string())
 }
 
 fn answer(
@@ -114,7 +118,7 @@
     if let Some(wanted) = &plan.cells {
         cells.check(&wanted.to, &wanted.from)?;
     }
-    let changed = edge.apply(plan.to, Some(&plan.from))?;
+    let changed = edge.apply(plan.to, Some(&plan.from)).map_err(|error| error.to_string())?;
     match plan.cells {
         Some(wanted) => Ok(cells.apply(wanted.to, Some(&wanted.from))? || changed),
         None => Ok(changed),
--- a/front/src/lifecycle/edge.rs
+++ b/front/src/lifecycle/edge.rs
@@ -25,6 +25,7 @@
 use crate::edge::in_force::{Former, InForce, State};
 use crate::edge::serial::{serial_for, Kept};
 use crate::fleet::site_failover::SiteFailover;
+use crate::lifecycle::apply_error::ApplyError;
 use crate::memory::counters::Counters;
 use crate::memory::ledger::LIVES;
 use crate::memory::longest::Longest;
@@ -45,8 +46,9 @@
 /// A cookie of a secret taken out of service is young enough for so long.
 const FILE_LOOK: Ms = 1000.0;
 
+/// An address that this front serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Listens {
+pub enum Listens {
     Dns(SocketAddr),
     Http(SocketAddr),
 }
@@ -193,14 +195,17 @@
 
     /// Puts a configuration in force, whole or not at all; false if it is already. The second must hold: it was
     /// made against what is in force.
-    pub fn apply(&self, to: EdgeConfig, from: Option<&str>) -> Result<bool, String> {
+    ///
+    /// # Errors
+    /// Why it is not in force; nothing has changed then.
+    pub fn apply(&self, to: EdgeConfig, from: Option<&str>) -> Result<bool, ApplyError> {
         let mut listeners = self.listeners.lock().unwrap_or_else(|p| p.into_inner());
         let before = self.in_force();
         if to == before {
             return Ok(false);
         }
         if from.is_some_and(|from| from != before.fingerprint()) {
-            return Err("the plan was made against another state than the one in force".into());
+            return Err(ApplyError::Stale);
         }
         to.check()?;
         let mut live = self.live();
@@ -215,15 +220,16 @@
                 Listens::Dns(at) => DnsSockets::bind(*at, to.udp_threads()).map(Bound::Dns),
                 Listens::Http(at) => std::net::TcpListener::bind(at).map(Bound::Http),
             };
-            bound.push((*listens, got.map_err(|e| format!("{listens}: {e}"))?));
+            let sockets = got.map_err(|error| ApplyError::Address { listens: *listens, error })?;
+            bound.push((*listens, sockets));
         }
         let mut started = Vec::new();
         for (listens, sockets) in bound {
             match self.start(sockets) {
                 Ok(listener) => started.push((listens, listener)),
-                Err(why) => {
+                Err(error) => {
                     started.iter().for_each(|(_, listener)| listener.stop());
-                    return Err(why);
+                    return Err(ApplyError::Start(error));
                 }
             }
         }
@@ -392,7 +398,7 @@
         self.in_force.set(next.state);
     }
 
-    fn start(&self, sockets: Bound) -> Result<Listener, String> {
+    fn start(&self, sockets: Bound) -> std::io::Result<Listener> {
         let stop = Arc::new(AtomicBool::new(false));
         let started = match sockets {
             Bound::Dns(sockets) => {
@@ -404,7 +410,8 @@
                 at.and_then(|at| http::start(listener, &self.site, &stop).map(|()| ("http", at)))
             }
         };
-        let (kind, at) = started.map_err(|e| format!("edge: {e}"))?;
+        // Some of the threads may run already, and would hold the address.
+        let (kind, at) = started.inspect_err(|_| stop.store(true, Relaxed))?;
         eprintln!("edge: {kind} on {at}");
         Ok(Listener { stop, at })
     }
--- a/front/src/lifecycle/mod.rs
+++ b/front/src/lifecycle/mod.rs
@@ -1,5 +1,7 @@
 //! Start and stop: configuration, threads, signals, drain.
 
+pub mod activation;
+pub mod apply_error;
 pub mod cells;
 pub mod config;
 pub mod control;
--- a/front/src/lifecycle/second_front.rs
+++ b/front/src/lifecycle/second_front.rs
@@ -8,10 +8,10 @@
 use crossbeam_channel::Sender;
 
 use crate::client::resolver;
-use crate::edge::config::EdgeConfig;
 use crate::edge::in_force::InForce;
 use crate::exchange::Input;
 use crate::fleet::site_failover::SiteFailover;
+use crate::lifecycle::activation::Activation;
 use crate::lifecycle::cells::CellsInForce;
 use crate::lifecycle::config::Config;
 use crate::lifecycle::control;
@@ -28,11 +28,6 @@
 use crate::server::http::Site;
 use crate::server::{dns, Intake};
 
-/// So often it is looked whether an earlier process has gone.
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// An earlier process that gives its addresses up has closed the last of them after so long, or has been killed.
-const ADDRESS_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Where the second front's file is, and where plan and apply find the program.
 pub struct SecondFrontFiles {
     pub file: PathBuf,
@@ -98,28 +93,28 @@
         cells.start(&files.cells);
         let activation = Activation {
             file: files.file.clone(),
-            path: control.clone(),
+            control: control.clone(),
             edge: edge.clone(),
-            cells,
+            cells: Arc::new(cells),
             counters: counters.clone(),
         };
-        let alone = Arc::new(OnceLock::new());
+        let settled = Arc::new(OnceLock::new());
         // The second front must not keep the first from serving.
-        activation.begin(alone.clone()).map_err(|e| format!("second front's thread: {e}"))?;
+        activation.begin(settled.clone()).map_err(|e| format!("second front's thread: {e}"))?;
         let second_front = SecondFront { edge, ledger, handover, control };
-        second_front.open_ledger(config.longest_deadline, alone)?;
+        second_front.open_ledger(config.longest_deadline, settled)?;
         Ok(second_front)
     }
 
     /// Opens the ledger once no client of an earlier process can still retry there.
-    fn open_ledger(&self, longest_deadline_ms: f64, alone: Arc<OnceLock<Instant>>) -> Result<(), String> {
+    fn open_ledger(&self, longest_deadline_ms: f64, settled: Arc<OnceLock<Instant>>) -> Result<(), String> {
         // The clients of the process before give up after the longest deadline; where it may leave word, it is not
         // shut out by that: it stays for a while before it does.
         let closed = Duration::from_secs_f64(longest_deadline_ms / 1000.0);
         let closed = if self.handover.is_some() { closed.max(MIN_SHUTDOWN * 2) } else { closed };
         let (ledger, handover) = (self.ledger.clone(), self.handover.clone());
         let open =
-            move || handover::open_when_safe(&ledger, handover.as_ref(), closed, || alone.get().copied());
+            move || handover::open_when_safe(&ledger, handover.as_ref(), closed, || settled.get().copied());
         spawn("ledger", open).map(drop).map_err(|e| format!("ledger thread: {e}"))
     }
 
@@ -143,50 +138,3 @@
         }
     }
 }
-
-/// The start of the second front. An earlier process of ours may still hold its addresses.
-struct Activation {
-    file: PathBuf,
-    path: PathBuf,
-    edge: Arc<Edge>,
-    cells: CellsInForce,
-    counters: Arc<Counters>,
-}
-
-impl Activation {
-    /// Puts the file in force, later if an earlier process is there still. The moment it has the addresses, or has
-    /// given up, is put down.
-    fn begin(self, done: Arc<OnceLock<Instant>>) -> std::io::Result<()> {
-        let path = self.path.clone();
-        let run = move |patience: Duration| {
-            if let Err(why) = self.put_in_force(patience) {
-                eprintln!("edge: nothing is in force: {why}");
-            }
-            let _ = done.set(Instant::now());
-        };
-        if !control::taken(&path) {
-            run(Duration::ZERO);
-            return Ok(());
-        }
-        eprintln!("edge: an earlier process has the addresses: waiting for them");
-        spawn("edge-wait", move || {
-            while control::taken(&path) {
-                std::thread::sleep(POLL_INTERVAL);
-            }
-            run(ADDRESS_TIMEOUT);
-        })
-        .map(drop)
-    }
-
-    fn put_in_force(self, patience: Duration) -> Result<(), String> {
-        let Activation { file, path, edge, cells, counters } = self;
-        control::listen(&path, edge.clone(), cells, counters)?;
-        let until = Instant::now() + patience;
-        loop {
-            match edge.apply(EdgeConfig::load(&file)?, None) {
-                Err(_) if Instant::now() < until => std::thread::sleep(POLL_INTERVAL),
-                applied => return applied.map(drop),
-            }
-        }
-    }
-}
--- a/front/src/process/mod.rs
+++ b/front/src/process/mod.rs
@@ -1,7 +1,10 @@
 //! What every part of the program needs of its process: threads, the clock, the log.
 
+pub mod accept;
+pub mod backoff;
 pub mod clock;
 pub mod log;
+pub mod socket_error;
 pub mod transient;
 
 use std::hash::{DefaultHasher, Hash, Hasher};
--- a/front/src/server/dns.rs
+++ b/front/src/server/dns.rs
@@ -15,11 +15,11 @@
 use elmtide_ratelimit::{Limiter, Limits};
 use rustix::buffer::spare_capacity;
 use rustix::event::epoll::{self, EventData, EventFlags};
-use rustix::event::Timespec;
 
 use crate::edge::in_force::InForce;
 use crate::process::log::Log;
 use crate::process::{clock, spawn};
+use crate::server::acceptor::Acceptor;
 
 /// So often a waiting thread looks whether it is to stop, and a connection whether its time is up.
 const LOOK: Duration = Duration::from_millis(200);
@@ -113,7 +113,7 @@
 /// All TCP connections of one address.
 struct Streams {
     epoll: OwnedFd,
-    listener: TcpListener,
+    acceptor: Acceptor,
     in_force: Arc<InForce>,
     shared: Arc<Shared>,
     server: Server,
@@ -126,22 +126,22 @@
 impl Streams {
     fn new(listener: TcpListener, in_force: Arc<InForce>, shared: Arc<Shared>) -> io::Result<Streams> {
         let epoll = epoll::create(epoll::CreateFlags::CLOEXEC)?;
-        listener.set_nonblocking(true)?;
-        epoll::add(&epoll, &listener, EventData::new_u64(LISTENER), EventFlags::IN)?;
+        let acceptor = Acceptor::register(&epoll, listener, LISTENER)?;
         let state = in_force.now();
         let (server, table) = (shared.server(state.limits), Table::new(state.tcp));
         let (streams, scratch) = (HashMap::new(), Vec::with_capacity(4096));
-        Ok(Streams { epoll, listener, in_force, shared, server, table, streams, next: FIRST, scratch })
+        Ok(Streams { epoll, acceptor, in_force, shared, server, table, streams, next: FIRST, scratch })
     }
 
     fn run(mut self, stop: &AtomicBool) {
         let mut events: Vec<epoll::Event> = Vec::with_capacity(256);
         let mut buffer = vec![0; 16 * 1024];
-        let look = Timespec { tv_sec: 0, tv_nsec: i64::from(LOOK.subsec_nanos()) };
         let mut limits = self.in_force.now().tcp;
         while !stop.load(Relaxed) {
             events.clear();
-            let waited = epoll::wait(&self.epoll, spare_capacity(&mut events), Some(&look));
+            self.acceptor.resume(&self.epoll);
+            let timeout = self.acceptor.wait_at_most(LOOK);
+            let waited = epoll::wait(&self.epoll, spare_capacity(&mut events), Some(&timeout));
             let now = clock::steady_ms();
             let wanted = self.in_force.now().tcp;
             if wanted != limits {
@@ -170,12 +170,11 @@
 
     fn accept(&mut self, now: f64) {
         for _ in 0..ACCEPT {
-            let (stream, from) = match self.listener.accept() {
-                Ok(accepted) => accepted,
-                Err(why) if why.kind() == ErrorKind::WouldBlock => return,
-                Err(why) => {
-                    self.shared.log.say(|| format!("dns: accept: {why}"));
-                    std::thread::sleep(Duration::from_millis(5));
+            let (stream, from) = match self.acceptor.accept(&self.epoll) {
+                Ok(Some(accepted)) => accepted,
+                Ok(None) => return,
+                Err(error) => {
+                    self.shared.log.say(|| format!("dns: accept: {error}"));
                     return;
                 }
             };
--- a/front/src/server/http.rs
+++ b/front/src/server/http.rs
@@ -16,6 +16,7 @@
 use crate::fleet::site_failover::{Client as PlannedClient, ClientDecision, SiteFailover};
 use crate::memory::budget::Held;
 use crate::memory::ledger::{Entered, Ledger};
+use crate::process::accept::accept_until;
 use crate::process::{clock, spawn};
 use crate::server::clients::{Client, Clients, NotTaken, Protocol, REQUEST};
 use crate::server::{Field, Fields, Intake, Ready};
@@ -60,27 +61,25 @@
 }
 
 fn accept(listener: &TcpListener, site: &Arc<Site>, stop: &Arc<AtomicBool>) {
-    for stream in listener.incoming() {
-        if stop.load(Relaxed) {
-            return;
-        }
-        let Ok(stream) = stream else {
-            std::thread::sleep(Duration::from_millis(10));
-            continue;
-        };
-        let Some(admitted) = site.clients.admit(stream, Protocol::Http) else { continue };
-        let (site, stop) = (site.clone(), stop.clone());
-        let served = spawn("http-client", move || {
-            let client = &admitted.client;
-            let run = || Connection { site: &site, stop: &stop, client, bytes: Vec::new() }.serve();
-            if catch_unwind(AssertUnwindSafe(run)).is_err() {
-                eprintln!("http connection: dropped after a panic");
+    accept_until(
+        "http",
+        listener,
+        || stop.load(Relaxed),
+        |stream| {
+            let Some(admitted) = site.clients.admit(stream, Protocol::Http) else { return };
+            let (site, stop) = (site.clone(), stop.clone());
+            let served = spawn("http-client", move || {
+                let client = &admitted.client;
+                let run = || Connection { site: &site, stop: &stop, client, bytes: Vec::new() }.serve();
+                if catch_unwind(AssertUnwindSafe(run)).is_err() {
+                    eprintln!("http connection: dropped after a panic");
+                }
+            });
+            if let Err(why) = served {
+                eprintln!("http: no thread for a connection: {why}");
             }
-        });
-        if let Err(why) = served {
-            eprintln!("http: no thread for a connection: {why}");
-        }
-    }
+        },
+    );
 }
 
 struct Response {
--- a/front/src/server/management.rs
+++ b/front/src/server/management.rs
@@ -14,12 +14,12 @@
 
 use rustix::buffer::spare_capacity;
 use rustix::event::epoll::{self, EventData, EventFlags};
-use rustix::event::Timespec;
 
 use crate::memory::counters::Counters;
 use crate::memory::mode::State;
 use crate::process::transient::retry_at_start;
 use crate::process::{clock, spawn_at_start};
+use crate::server::acceptor::Acceptor;
 use crate::wire::management::{self, Call, LONGEST};
 
 /// Callers at a time.
@@ -46,7 +46,7 @@
 
 pub struct Management {
     epoll: OwnedFd,
-    listener: TcpListener,
+    acceptor: Acceptor,
     counters: Arc<Counters>,
     callers: HashMap<u64, Caller>,
     next: u64,
@@ -56,16 +56,14 @@
     pub fn bind(at: SocketAddr, counters: Arc<Counters>) -> Result<Management, String> {
         let listener = retry_at_start("management address", || TcpListener::bind(at))
             .map_err(|e| format!("management address {at}: {e}"))?;
-        listener.set_nonblocking(true).map_err(|e| e.to_string())?;
         let create = || epoll::create(epoll::CreateFlags::CLOEXEC).map_err(io::Error::from);
         let epoll = retry_at_start("management epoll", create).map_err(|e| e.to_string())?;
-        epoll::add(&epoll, &listener, EventData::new_u64(LISTENER), EventFlags::IN)
-            .map_err(|e| e.to_string())?;
-        Ok(Management { epoll, listener, counters, callers: HashMap::new(), next: LISTENER + 1 })
+        let acceptor = Acceptor::register(&epoll, listener, LISTENER).map_err(|e| e.to_string())?;
+        Ok(Management { epoll, acceptor, counters, callers: HashMap::new(), next: LISTENER + 1 })
     }
 
     pub fn local_addr(&self) -> Option<SocketAddr> {
-        self.listener.local_addr().ok()
+        self.acceptor.local_addr().ok()
     }
 
     /// Serves on a thread of its own for as long as the program runs.
@@ -77,10 +75,13 @@
 
     fn run(mut self) {
         let mut events: Vec<epoll::Event> = Vec::with_capacity(64);
-        let timeout = Timespec { tv_sec: 0, tv_nsec: TURN.as_nanos() as i64 };
         loop {
             events.clear();
-            let _ = epoll::wait(&self.epoll, spare_capacity(&mut events), Some(&timeout));
+            self.acceptor.resume(&self.epoll);
+            let timeout = self.acceptor.wait_at_most(TURN);
+            if epoll::wait(&self.epoll, spare_capacity(&mut events), Some(&timeout)).is_err() {
+                events.clear();
+            }
             for event in &events {
                 match event.data.u64() {
                     LISTENER => self.accept(),
@@ -98,7 +99,8 @@
     }
 
     fn accept(&mut self) {
-        while let Ok((stream, _)) = self.listener.accept() {
+        // A caller that waits while there are no descriptors is taken after a pause.
+        while let Ok(Some((stream, _))) = self.acceptor.accept(&self.epoll) {
             if self.callers.len() >= CALLERS {
                 let oldest = self.callers.iter().min_by_key(|(_, c)| c.since).map(|(id, _)| *id);
                 oldest.map(|id| self.callers.remove(&id));
--- a/front/src/server/mod.rs
+++ b/front/src/server/mod.rs
@@ -1,5 +1,6 @@
 //! Takes requests in.
 
+pub mod acceptor;
 pub mod clients;
 pub mod dns;
 pub mod drain_report;
--- a/front/src/server/sockets.rs
+++ b/front/src/server/sockets.rs
@@ -5,7 +5,7 @@
 //! each of 190 connections, most of them idle, 82 of 100 parts of the CPU went there, and the front stayed at its
 //! limit over work that takes a quarter of it.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
@@ -18,13 +18,13 @@
 use elmtide_drain::{ConnectionAction, DrainPhase};
 use rustix::buffer::spare_capacity;
 use rustix::event::epoll::{self, EventData, EventFlags};
-use rustix::event::Timespec;
 
 use crate::lifecycle::listener::Origin;
 use crate::memory::mode::{Mode, State};
 use crate::process::clock;
 use crate::process::transient::retry_at_start;
 
+use crate::server::acceptor::Acceptor;
 use crate::server::clients::{Admitted, Clients, Protocol};
 use crate::server::drain_report::DrainReport;
 use crate::server::fastcgi::{Broken, Conversation};
@@ -180,27 +180,37 @@
         self.conversation.mode()
     }
 
-    /// What the connection waits for now, if that has changed.
-    fn interest(&mut self) -> Option<EventFlags> {
+    /// What the connection waits for now.
+    fn wanted_interest(&self) -> EventFlags {
         let waiting = self.conversation.out.len();
         let reads = waiting < QUEUE && self.broken.is_none();
         let mut interest = if reads { EventFlags::IN } else { EventFlags::empty() };
         if waiting > 0 {
             interest |= EventFlags::OUT;
         }
-        (std::mem::replace(&mut self.interest, interest) != interest).then_some(interest)
+        interest
+    }
+
+    /// Has the event loop tell what the connection waits for, if that has changed.
+    fn register_interest(&mut self, epoll: &OwnedFd, id: u64) -> rustix::io::Result<()> {
+        let wanted = self.wanted_interest();
+        if wanted != self.interest {
+            epoll::modify(epoll, self.stream(), EventData::new_u64(id), wanted)?;
+            self.interest = wanted;
+        }
+        Ok(())
     }
 }
 
 pub struct Sockets {
     epoll: OwnedFd,
-    listener: TcpListener,
+    acceptor: Acceptor,
     origin: Origin,
-    /// The listener is still in the epoll set.
-    accepting: bool,
     clients: Clients,
     intake: Arc<Intake>,
     connections: HashMap<u64, Connection>,
+    /// Connections whose registration could not be changed; it is tried again at the next turn.
+    unregistered: BTreeSet<u64>,
     lingering: BTreeMap<u64, Lingering>,
     next: u64,
     mailbox: Mailbox,
@@ -234,20 +244,19 @@
         let create = || epoll::create(epoll::CreateFlags::CLOEXEC).map_err(io::Error::from);
         let epoll = retry_at_start("clients' epoll", create)?;
         let (mailbox, deliveries) = retry_at_start("clients' mailbox", Mailbox::new)?;
-        listener.set_nonblocking(true)?;
-        epoll::add(&epoll, &listener, EventData::new_u64(LISTENER), EventFlags::IN)?;
+        let acceptor = Acceptor::register(&epoll, listener, LISTENER)?;
         epoll::add(&epoll, mailbox.bell(), EventData::new_u64(WAKER), EventFlags::IN)?;
         let connections = HashMap::new();
         let (finished, told) = bounded(1);
         let finish = Finish { mailbox: mailbox.clone(), finished: told };
         let sockets = Sockets {
             epoll,
-            listener,
+            acceptor,
             origin,
-            accepting: true,
             clients,
             intake,
             connections,
+            unregistered: BTreeSet::new(),
             lingering: BTreeMap::new(),
             next: FIRST,
             mailbox,
@@ -264,16 +273,21 @@
         let mut buffer = vec![0; READ];
         loop {
             events.clear();
-            // It is interrupted each time the process is stopped and goes on.
-            let turn = Timespec { tv_sec: 0, tv_nsec: i64::from(TURN.subsec_nanos()) };
-            if epoll::wait(&self.epoll, spare_capacity(&mut events), Some(&turn)).is_ok() {
-                self.serve(&events, &mut buffer);
+            let turn = self.acceptor.wait_at_most(TURN);
+            if epoll::wait(&self.epoll, spare_capacity(&mut events), Some(&turn)).is_err() {
+                // It is interrupted each time the process is stopped and goes on. What has been left is delivered all the same.
+                events.clear();
             }
+            self.serve(&events, &mut buffer);
         }
     }
 
     /// One turn: what has come is taken in first, and only then idle connections are closed.
     fn serve(&mut self, events: &[epoll::Event], buffer: &mut [u8]) {
+        self.acceptor.resume(&self.epoll);
+        for id in std::mem::take(&mut self.unregistered) {
+            self.turn(id, Connection::flush);
+        }
         for event in events {
             match event.data.u64() {
                 LISTENER => self.accept(),
@@ -303,7 +317,7 @@
         if !self.intake.counters.mode.is_finishing() {
             return;
         }
-        if self.accepting {
+        if self.acceptor.is_open() {
             self.accept();
         }
         if self.connections.is_empty() && self.lingering.is_empty() {
@@ -339,8 +353,8 @@
         if !phase.is_draining() {
             return;
         }
-        if self.accepting && self.origin == Origin::Inherited && mode.state() == State::Ending {
-            self.accepting = epoll::delete(&self.epoll, &self.listener).is_err();
+        if self.origin == Origin::Inherited && mode.state() == State::Ending {
+            self.acceptor.close(&self.epoll);
         }
         let actions =
             self.connections.iter().map(|(id, c)| (*id, phase.connection_action(c.conversation.activity())));
@@ -373,13 +387,10 @@
         let mut ours = true;
         let why = match acted {
             Ok(Ok(())) => {
-                let data = EventData::new_u64(id);
-                let changed = connection.interest();
-                let told = changed.map(|to| epoll::modify(&self.epoll, connection.stream(), data, to));
-                if told.is_none_or(|t| t.is_ok()) {
-                    return;
+                if connection.register_interest(&self.epoll, id).is_err() {
+                    self.unregistered.insert(id);
                 }
-                None
+                return;
             }
             Ok(Err(End::Done)) => None,
             Ok(Err(End::Left)) => {
@@ -401,13 +412,11 @@
 
     fn accept(&mut self) {
         for _ in 0..ACCEPT {
-            let stream = match self.listener.accept() {
-                Ok((stream, _)) => stream,
-                Err(why) if waits(&why) => return,
-                Err(why) => {
-                    self.intake.log.say(|| format!("accept: {why}"));
-                    // Out of descriptors, most likely: without a pause this would be all that the thread does.
-                    std::thread::sleep(Duration::from_millis(5));
+            let stream = match self.acceptor.accept(&self.epoll) {
+                Ok(Some((stream, _))) => stream,
+                Ok(None) => return,
+                Err(error) => {
+                    self.intake.log.say(|| format!("accept: {error}"));
                     return;
                 }
             };
--- a/front/src/server/sockets/tests.rs
+++ b/front/src/server/sockets/tests.rs
@@ -5,6 +5,8 @@
 use elmtide::ClassId;
 use elmtide_drain::DrainSchedule;
 
+use rustix::event::Timespec;
+
 use super::*;
 use crate::exchange::{Answer, Class, Copy, Input, Responder};
 use crate::memory::budget::Budget;
@@ -61,8 +63,14 @@
         &self.sockets.intake.counters.mode
     }
 
+    /// All changes of what the connections wait for fail from now on, until the set that is returned is put back.
+    fn break_epoll(&mut self) -> OwnedFd {
+        let no_epoll = std::fs::File::open("/dev/null").unwrap();
+        std::mem::replace(&mut self.sockets.epoll, no_epoll.into())
+    }
+
     fn connect(&self) -> TcpStream {
-        let stream = TcpStream::connect(self.sockets.listener.local_addr().unwrap()).unwrap();
+        let stream = TcpStream::connect(self.sockets.acceptor.local_addr().unwrap()).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         stream
     }
@@ -505,3 +513,34 @@
     });
     ends
 }
+
+/// `epoll_ctl` fails for a while under an open request whose answer is longer than the socket takes: the connection stays, and
+/// the answer is whole once the calls succeed again.
+#[test]
+fn a_failing_registration_loses_no_answer() {
+    const LENGTH: usize = 8 << 20;
+    let mut front = Front::start();
+    let mut client = front.connect();
+    client.write_all(&request("00000000000000a1", true)).unwrap();
+    let responder = front.taken();
+    let epoll = front.break_epoll();
+    let copy = Copy { bytes: vec![b'x'; LENGTH], digest: None, client_has_it: false };
+    responder.answer(Answer::Served(copy));
+    // The thread of the sockets takes the delivery, and can't ask to be told when the socket takes more.
+    front.sockets.serve(&[], &mut [0; READ]);
+    assert_eq!(front.sockets.connections.len(), 1, "it stays");
+    assert_eq!(front.sockets.unregistered.len(), 1);
+    front.sockets.serve(&[], &mut [0; READ]);
+    assert_eq!(front.sockets.unregistered.len(), 1, "and is tried again");
+    front.sockets.epoll = epoll;
+    let reader = std::thread::spawn(move || {
+        let mut length = 0;
+        let mut buffer = vec![0; 1 << 16];
+        while length < LENGTH {
+            length += client.read(&mut buffer).unwrap();
+        }
+    });
+    front.until(|_| reader.is_finished().then_some(()));
+    reader.join().unwrap();
+    assert!(front.sockets.unregistered.is_empty());
+}
--- a/front/tests/common/mod.rs
+++ b/front/tests/common/mod.rs
@@ -208,11 +208,15 @@
 
 /// The same, with faults of its clock and its system calls.
 pub fn start_managed_with_faults(seed: u64) -> (Program, SocketAddr, Faults) {
-    start_under_faults(seed, &[])
+    start_under_faults(seed, &[], None)
 }
 
-/// The same, with calls that fail from the start: so many of a thousand.
-pub fn start_under_faults(seed: u64, failing: &[(FailingCalls, u64)]) -> (Program, SocketAddr, Faults) {
+/// The same, with calls that fail from the start, so many of a thousand, and the second front if there is an edge file.
+pub fn start_under_faults(
+    seed: u64,
+    failing: &[(FailingCalls, u64)],
+    edge: Option<&str>,
+) -> (Program, SocketAddr, Faults) {
     let folder = folder();
     let faults = Faults::new(&folder, seed).unwrap();
     failing.iter().for_each(|(calls, rate)| faults.set_failure_rate(*calls, *rate).unwrap());
@@ -220,7 +224,7 @@
     let mut environment: Vec<(&str, &str)> =
         environment.iter().map(|(name, value)| (*name, &value[..])).collect();
     environment.push(("LB_MANAGEMENT", "127.0.0.1:0"));
-    let program = Program::start_in(folder, &["s-1"], None, 1024, &environment);
+    let program = Program::start_in(folder, &["s-1"], edge, 1024, &environment);
     let management = program.management();
     (program, management, faults)
 }
--- a/front/tests/process_faults.rs
+++ b/front/tests/process_faults.rs
@@ -3,11 +3,13 @@
 mod common;
 
 use std::io::{Read, Write};
+use std::os::unix::net::UnixStream;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use common::{accept, call_management, folder, start_under_faults, Program, PATIENCE};
 use elmtide_standins::faults::{FailingCalls, Faults};
+use elmtide_standins::front::cpu_seconds;
 use elmtide_standins::node::{Behaviour, Node, Origin};
 use elmtide_standins::until;
 use elmtide_standins::web_server::{RequestEnd, WebServerConnection, Workload};
@@ -15,6 +17,8 @@
 
 const HOUR_MS: i64 = 3_600_000;
 const ALLOW_MS: u32 = 850;
+/// A second front with one address.
+const EDGE: &str = "zone = \"edge.test.\"\n[[front]]\nname = \"n1\"\nhttp = [\"127.0.0.1:0\"]\n";
 
 struct Scene {
     program: Program,
@@ -25,13 +29,13 @@
 
 impl Scene {
     fn start(seed: u64) -> Scene {
-        Scene::start_failing(seed, &[])
+        Scene::start_failing(seed, &[], None)
     }
 
     /// These calls fail from the start: so many of a thousand.
-    fn start_failing(seed: u64, failing: &[(FailingCalls, u64)]) -> Scene {
+    fn start_failing(seed: u64, failing: &[(FailingCalls, u64)], edge: Option<&str>) -> Scene {
         println!("seed {seed}");
-        let (mut program, management, faults) = start_under_faults(seed, failing);
+        let (mut program, management, faults) = start_under_faults(seed, failing, edge);
         let listener = program.listeners.remove("s-1").unwrap();
         let node = Node::start("s-1", listener, &Arc::new(Origin::default()), seed).unwrap();
         Scene { program, management, faults, node }
@@ -198,11 +202,82 @@
     assert_eq!(served(&scene.ask(500_000, 20)), 20, "as it was before");
 }
 
+/// No descriptor is left for a while, and a connection waits at each listener: the program uses little of a core meanwhile, and
+/// takes all of them afterwards.
+#[test]
+fn connections_that_can_not_be_accepted_take_no_core() {
+    const WHILE: Duration = Duration::from_millis(800);
+    let scene = Scene::start_failing(27, &[], Some(EDGE));
+    assert_eq!(served(&scene.ask(1, 1)), 1);
+    scene.faults.set_failure_rate(FailingCalls::Accept, 1000).unwrap();
+    let connection = scene.connect(100);
+    connection.send("small-files", 60_000, b"").unwrap();
+    let mut operator = std::net::TcpStream::connect(scene.management).unwrap();
+    operator.set_read_timeout(Some(PATIENCE)).unwrap();
+    operator.write_all(b"STATUS\n").unwrap();
+    let mut planner = UnixStream::connect(scene.program.folder.join("control.sock")).unwrap();
+    planner.set_read_timeout(Some(PATIENCE)).unwrap();
+    planner.write_all(b"\"Counters\"\n").unwrap();
+    let used = || cpu_seconds(scene.program.child.id()).unwrap();
+    let before = used();
+    // The span over which is measured.
+    std::thread::sleep(WHILE);
+    let during = used() - before;
+    assert!(during < WHILE.as_secs_f64() * 0.4, "{during} s of {WHILE:?}");
+    scene.faults.set_failure_rate(FailingCalls::Accept, 0).unwrap();
+    let mut reply = String::new();
+    operator.read_to_string(&mut reply).unwrap();
+    assert!(reply.starts_with("200 yes"), "{reply}");
+    reply.clear();
+    planner.read_to_string(&mut reply).unwrap();
+    assert!(reply.contains("Counters"), "{reply}");
+    assert!(until(|| connection.open_requests() == 0));
+    assert_eq!(served(&scene.ask(500, 3)), 3);
+}
+
+/// No socket can be had for a connection to a server, for a part of a request's time: the request waits that out and is served.
+#[test]
+fn a_request_waits_out_a_shortage_of_sockets() {
+    /// They take a small part of the time that a request may wait for a connection.
+    const FAILURES: u64 = 6;
+    let scene = Scene::start(28);
+    scene.faults.set_failure_rate(FailingCalls::Connect, 1000).unwrap();
+    let connection = scene.connect(1);
+    connection.send("small-files", ALLOW_MS, b"").unwrap();
+    assert!(until(
+        || scene.faults.injected_failures().unwrap() >= FAILURES || connection.open_requests() == 0
+    ));
+    scene.faults.set_failure_rate(FailingCalls::Connect, 0).unwrap();
+    assert!(until(|| connection.open_requests() == 0));
+    let ends: Vec<RequestEnd> =
+        connection.record().requests.iter().map(|request| request.end.unwrap().1).collect();
+    assert_eq!(served(&ends), 1, "{ends:?}");
+}
+
+/// A shortage of this machine that outlasts requests: each is answered, and once it is over all are served again.
+#[rstest]
+fn a_shortage_of_this_machine_is_no_fault_of_a_server(
+    #[values(FailingCalls::Connect, FailingCalls::Thread)] calls: FailingCalls,
+) {
+    let scene = Scene::start(29);
+    scene.faults.set_failure_rate(calls, 1000).unwrap();
+    let ends = scene.ask(1, 3);
+    assert!(!ends.contains(&RequestEnd::ConnectionLost), "{ends:?}");
+    assert_eq!(served(&ends), 0, "nothing can be served");
+    scene.faults.set_failure_rate(calls, 0).unwrap();
+    let mut job = 500;
+    assert!(until(|| {
+        job += 1;
+        served(&scene.ask(job, 1)) == 1
+    }));
+    assert_eq!(served(&scene.ask(50_000, 10)), 10);
+}
+
 /// Sockets and threads that can't be had for a moment while the front starts: it starts all the same, and serves.
 #[rstest]
 fn a_start_waits_out_what_fails_for_a_moment(#[values(21, 22, 23, 24)] seed: u64) {
     let failing = [(FailingCalls::Connect, 500), (FailingCalls::Thread, 500)];
-    let scene = Scene::start_failing(seed, &failing);
+    let scene = Scene::start_failing(seed, &failing, None);
     assert!(scene.faults.injected_failures().unwrap() > 0);
     for (calls, _) in failing {
         scene.faults.set_failure_rate(calls, 0).unwrap();
@@ -249,7 +324,6 @@
 /// itself once the disk is well; what ran is left in order at the end.
 #[test]
 fn a_disk_that_fails_for_a_while_refuses_signups_and_recovers_by_itself() {
-    const EDGE: &str = "zone = \"edge.test.\"\n[[front]]\nname = \"n1\"\nhttp = [\"127.0.0.1:0\"]\n";
     let folder = folder();
     let faults = Faults::new(&folder, 31).unwrap();
     faults.set_failure_rate(FailingCalls::Disk, 1000).unwrap();
--- a/front/tests/second_front.rs
+++ b/front/tests/second_front.rs
@@ -14,6 +14,7 @@
 use elmtide_standins::bus::{listed, Bus};
 use elmtide_standins::front::{Front, Setup};
 use elmtide_standins::node::{runs, Node, Origin};
+use elmtide_standins::ports::free_port;
 use elmtide_standins::resolver::{Habits, Resolver, Says};
 use elmtide_standins::shopper::{self, get, signup, End, Http, Shopper};
 use elmtide_standins::{one_port, until, PATIENCE};
@@ -67,9 +68,9 @@
     }
 }
 
-/// A free port that all these addresses have, given back for the program to take.
+/// A free port that all these addresses have, for the program to take.
 fn port(ips: &[IpAddr]) -> u16 {
-    one_port(ips).unwrap()[0].local_addr().unwrap().port()
+    free_port(ips).unwrap()
 }
 
 fn ask(socket: &UdpSocket, name: &str, kind: RecordType, id: u16) -> Option<Message> {
@@ -644,6 +645,50 @@
     assert!(until(|| named().len() == 2));
 }
 
+/// Another process holds an address of the second front at its start, for longer than any start waits: the front serves on the
+/// others of its sockets meanwhile, and has the address as soon as it is free.
+#[test]
+fn an_address_in_use_at_the_start_is_taken_once_it_is_free() {
+    let around = Around::new(1);
+    let at = SocketAddr::new(v4(1), port(&[v4(1)]));
+    let holder = TcpListener::bind(at).unwrap();
+    let edge = format!(
+        "zone = \"edge.test.\"\n[[front]]\nname = \"n1\"\nhttp = [\"{at}\"]\n\
+         [[name]]\nname = \"branch\"\naddresses = [\"127.0.0.1\"]\n"
+    );
+    let front = around.front("n1", &edge);
+    front.log.wait("not in force yet", 0).unwrap();
+    front.listen().unwrap();
+    drop(holder);
+    assert_eq!(front.edge("http", 0), Ok(at));
+    front.log.wait("ledger: open", 0).unwrap();
+    let mut http = Http::connect(at, PATIENCE).unwrap();
+    http.send(&signup("late")).unwrap();
+    assert_eq!(http.reply().unwrap().status, 200);
+}
+
+/// A plan that is applied while the file waits for an address takes its place, and the file does not come back later.
+#[test]
+fn a_plan_replaces_a_file_that_waits_for_its_address() {
+    let around = Around::new(1);
+    let held = SocketAddr::new(v4(1), port(&[v4(1)]));
+    let other = SocketAddr::new(v4(1), port(&[v4(1)]));
+    let holder = TcpListener::bind(held).unwrap();
+    let edge = |at: SocketAddr| {
+        format!(
+            "zone = \"edge.test.\"\n[[front]]\nname = \"n1\"\nhttp = [\"{at}\"]\n\
+             [[name]]\nname = \"branch\"\naddresses = [\"127.0.0.1\"]\n"
+        )
+    };
+    let front = around.front("n1", &edge(held));
+    front.log.wait("not in force yet", 0).unwrap();
+    front.apply(&edge(other)).unwrap();
+    drop(holder);
+    front.log.wait("ledger: open", 0).unwrap();
+    assert_eq!(front.edge("http", 0), Ok(other));
+    assert!(TcpStream::connect(held).is_err(), "nobody listens there");
+}
+
 /// Signups at two addresses, two processes, both at once, after lost answers, while their owner is killed and started
 /// again: none runs twice, each request is answered.
 #[test]
--- a/front/tests/upgrade.rs
+++ b/front/tests/upgrade.rs
@@ -12,8 +12,9 @@
 use elmtide_standins::bus::{listed, Bus};
 use elmtide_standins::front::{Front, Handed, Setup};
 use elmtide_standins::node::{runs, Behaviour, Node, Origin};
+use elmtide_standins::ports::free_port;
 use elmtide_standins::shopper::{signup, Http};
-use elmtide_standins::{one_port, till, until, PATIENCE};
+use elmtide_standins::{till, until, PATIENCE};
 use rstest::rstest;
 
 /// The settings' longest deadline: a client gives a signup up after it.
@@ -53,7 +54,7 @@
         ];
         bus.list(true, &servers);
         let ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
-        let port = || one_port(&[ip]).unwrap()[0].local_addr().unwrap().port();
+        let port = || free_port(&[ip]).unwrap();
         let (http, dns) = (port(), port());
         let edge = format!(
             "zone = \"edge.example.\"\n[[front]]\nname = \"n1\"\ndns = [\"127.0.0.1:{dns}\"]\n\
--- a/lab/src/demo.rs
+++ b/lab/src/demo.rs
@@ -9,7 +9,7 @@
 use elmtide_standins::bus::{listed, Bus};
 use elmtide_standins::front::{Front, Setup};
 use elmtide_standins::node::{runs, Node, Origin};
-use elmtide_standins::one_port;
+use elmtide_standins::ports::free_port;
 use elmtide_standins::shopper::{get, lookup, signup, Http};
 
 const PATIENCE: Duration = Duration::from_secs(5);
@@ -27,8 +27,8 @@
     servers.push(listed("origin-1", ([127, 0, 0, 1], 9).into(), "east", "origin", "active"));
     bus.list(true, &servers);
     let ips = [1, 2].map(|n| IpAddr::V4(Ipv4Addr::new(127, 0, 0, n)));
-    let port = |listeners: Vec<TcpListener>| listeners[0].local_addr().map(|a| a.port()).map_err(failed);
-    let (http, dns) = (port(one_port(&ips).map_err(failed)?)?, port(one_port(&ips[..1]).map_err(failed)?)?);
+    let http = free_port(&ips).map_err(failed)?;
+    let dns = free_port(&ips[..1]).map_err(failed)?;
     let edge = format!(
         "zone = \"edge.example.\"\n\n[[front]]\nname = \"demo\"\ndns = [\"127.0.0.1:{dns}\"]\n\
          http = [\"127.0.0.1:{http}\", \"127.0.0.2:{http}\"]\n\n[[name]]\nname = \"branch\"\n\
--- a/lab/src/signups.rs
+++ b/lab/src/signups.rs
@@ -12,7 +12,7 @@
 use elmtide_standins::bus::{listed, Bus};
 use elmtide_standins::front::{Front, Setup};
 use elmtide_standins::node::{runs, Behaviour, Node, Origin};
-use elmtide_standins::one_port;
+use elmtide_standins::ports::free_port;
 use elmtide_standins::resolver::{Habits, Resolver};
 use elmtide_standins::shopper::{self, End, Shopper};
 
@@ -35,10 +35,8 @@
     servers.push(listed("origin-1", ([127, 0, 0, 1], 9).into(), "east", "origin", "active"));
     bus.list(true, &servers);
     let ips = [1, 2].map(|n| IpAddr::V4(Ipv4Addr::new(127, 0, 0, n)));
-    let port = || -> Result<u16, String> {
-        Ok(one_port(&ips).map_err(failed)?[0].local_addr().map_err(failed)?.port())
-    };
-    let (http, dns) = (port()?, port()?);
+    let http = free_port(&ips).map_err(failed)?;
+    let dns = free_port(&ips).map_err(failed)?;
     let edge = format!(
         "zone = \"edge.example.\"\n[rate_limit]\non = false\n[steering]\nwatch_ms = 200.0\nsettle_ms = 1000.0\n\
          [[front]]\nname = \"n1\"\ndns = [\"127.0.0.1:{dns}\"]\nhttp = [\"127.0.0.1:{http}\"]\n\
--- a/standins/src/front.rs
+++ b/standins/src/front.rs
@@ -20,6 +20,15 @@
 "MaxRetryAfterMs":500.0},"RequestClasses":[{"Name":"small-files","OnTimeMs":400,"HardLimitMs":900,"Repeat":"free"},
 {"Name":"plan-signup","OnTimeMs":600,"HardLimitMs":900,"Repeat":"single_shot"}]}"#;
 
+/// CPU time that a process has used, in seconds; the system counts in hundredths.
+pub fn cpu_seconds(process: u32) -> Option<f64> {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).ok()?;
+    let mut fields = stat.rsplit(") ").next()?.split(' ').skip(11);
+    let user: f64 = fields.next()?.parse().ok()?;
+    let system: f64 = fields.next()?.parse().ok()?;
+    Some((user + system) / 100.0)
+}
+
 #[derive(Default)]
 pub struct Log(Mutex<Vec<String>>, Condvar);
 
@@ -254,10 +263,7 @@
 
     /// CPU time that it has used, in seconds; the system counts in hundredths.
     pub fn cpu_s(&self) -> Option<f64> {
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).ok()?;
-        let mut fields = stat.rsplit(") ").next()?.split(' ').skip(11);
-        let (user, system): (f64, f64) = (fields.next()?.parse().ok()?, fields.next()?.parse().ok()?);
-        Some((user + system) / 100.0)
+        cpu_seconds(self.child.id())
     }
 
     /// Runs a command in its folder: the exit code and all that it printed.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod front;
 pub mod links;
 pub mod node;
+pub mod ports;
 pub mod resolver;
 pub mod shopper;
 pub mod tcp_proxy;
