Have a voter vote again once its disk is well, from a store written anew

Cause: a write of the fleet's store that failed (ENOSPC, EIO) ended this front's vote until a restart by hand; the database also refuses every later write of the same opening, so nothing else could be stored either. Ruled out: going on with the same file. After a sync that failed, the system's cache may show as written what the disk never got, and a later sync succeeds over it. Change: a store whose write failed is closed (fleet/node_store). A thread of its own reads it, writes its content into another file, syncs that, and renames it over the old one (Store::rewrite), every 0.5 to 5 s until it succeeds; then a node starts from it under a later incarnation, as after a restart of the process, and the engine drops what the earlier one held. Until then nothing is reported as stored, minimums included. Measured: the fleet's full-disk test, now with the disk freed and another voter killed, so that nothing is agreed on but by this vote: fails before (never votes again), passes now. Two tests of the store.

--- a/front/src/fleet/mod.rs
+++ b/front/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 pub mod hooks;
 pub mod maintenance_command;
 mod maintenance_view;
+pub mod node_store;
 pub mod operator;
 pub mod operator_client;
 mod operator_request;
--- /dev/null
+++ b/front/src/fleet/node_store.rs
@@ -0,0 +1,137 @@
+//! The store of this front while its disk may fail for a while.
+//!
+//! A store whose write has failed is closed. It is opened again, written anew, as soon as that succeeds; until then nothing is
+//! reported as stored. That is tried on a thread of its own: a disk that is not well may also be slow.
+
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{bounded, Receiver, TryRecvError};
+use elmtide_fleet::RecoveredState;
+use elmtide_store::{Store, StoreError};
+
+use crate::process::backoff::Backoff;
+use crate::process::spawn_with_usual_stack;
+
+/// Between two tries to use a failed store again: the first, and the longest.
+const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(5));
+
+/// Why nothing was stored.
+#[derive(Debug, thiserror::Error)]
+pub enum NotStored {
+    /// This front has no store.
+    #[error("this front has no store")]
+    NoStore,
+    /// An earlier write has failed, and the store has not been written anew since.
+    #[error("the store has failed and is not well again")]
+    StoreFailed,
+    /// The write has failed.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+}
+
+/// What comes of a try to use a failed store again.
+type Rewritten = Result<(Store, RecoveredState), StoreError>;
+
+enum State {
+    Absent,
+    Open(Store),
+    Failed(FailedStore),
+}
+
+struct FailedStore {
+    path: PathBuf,
+    backoff: Backoff,
+    retry_at: Instant,
+    /// The try that is being made.
+    attempt: Option<Receiver<Rewritten>>,
+}
+
+impl FailedStore {
+    fn new(path: PathBuf, now: Instant) -> FailedStore {
+        let mut backoff = Backoff::new(RETRY_PAUSE.0, RETRY_PAUSE.1);
+        let retry_at = now + backoff.pause();
+        FailedStore { path, backoff, retry_at, attempt: None }
+    }
+
+    fn begin_attempt(&mut self, installation: &str) -> std::io::Result<()> {
+        let (done, attempt) = bounded(1);
+        let (path, installation) = (self.path.clone(), installation.to_owned());
+        let rewrite = move || {
+            let _ = done.send(Store::rewrite(&path, &installation));
+        };
+        spawn_with_usual_stack("store-recovery", rewrite)?;
+        self.attempt = Some(attempt);
+        Ok(())
+    }
+
+    /// The store, once a try has succeeded.
+    fn poll(&mut self, now: Instant, installation: &str) -> Option<(Store, RecoveredState)> {
+        let Some(attempt) = &self.attempt else {
+            if now >= self.retry_at && self.begin_attempt(installation).is_err() {
+                self.retry_at = now + self.backoff.pause();
+            }
+            return None;
+        };
+        let error = match attempt.try_recv() {
+            Ok(Ok(rewritten)) => return Some(rewritten),
+            Err(TryRecvError::Empty) => return None,
+            Ok(Err(error)) => Some(error),
+            // It ended in a panic.
+            Err(TryRecvError::Disconnected) => None,
+        };
+        let reason = error.map_or_else(|| "a panic".to_owned(), |error| error.to_string());
+        tracing::warn!(reason, path = %self.path.display(), "fleet: the store is not well yet");
+        self.attempt = None;
+        self.retry_at = now + self.backoff.pause();
+        None
+    }
+}
+
+/// The store, or why there is none for now.
+pub struct NodeStore {
+    state: State,
+    installation: String,
+}
+
+impl NodeStore {
+    pub fn new(store: Option<Store>, installation: String) -> NodeStore {
+        NodeStore { state: store.map_or(State::Absent, State::Open), installation }
+    }
+
+    /// Whether this front is to have a store.
+    pub fn is_configured(&self) -> bool {
+        !matches!(self.state, State::Absent)
+    }
+
+    /// Writes, and closes the store if that fails.
+    ///
+    /// # Errors
+    /// Why nothing was stored.
+    pub fn write<T>(
+        &mut self,
+        now: Instant,
+        write: impl FnOnce(&Store) -> Result<T, StoreError>,
+    ) -> Result<T, NotStored> {
+        let store = match &self.state {
+            State::Absent => return Err(NotStored::NoStore),
+            State::Failed(_) => return Err(NotStored::StoreFailed),
+            State::Open(store) => store,
+        };
+        match write(store) {
+            Ok(done) => Ok(done),
+            Err(error) => {
+                self.state = State::Failed(FailedStore::new(store.path().to_owned(), now));
+                Err(error.into())
+            }
+        }
+    }
+
+    /// Opens a failed store again, if it is time to try and the disk is well: what a node starts from.
+    pub fn recover(&mut self, now: Instant) -> Option<RecoveredState> {
+        let State::Failed(failed) = &mut self.state else { return None };
+        let (store, recovered) = failed.poll(now, &self.installation)?;
+        self.state = State::Open(store);
+        Some(recovered)
+    }
+}
--- a/front/src/fleet/runner.rs
+++ b/front/src/fleet/runner.rs
@@ -19,6 +19,7 @@
 use crate::exchange::Input;
 use crate::fleet::config::FleetConfig;
 use crate::fleet::events::log_event;
+use crate::fleet::node_store::{NodeStore, NotStored};
 use crate::fleet::operator::{OperatorDesk, Order};
 use crate::fleet::site_watch::SiteWatch;
 use crate::fleet::status_view::FleetStatusView;
@@ -76,7 +77,7 @@
 #[derive(Debug, thiserror::Error)]
 enum RestartError {
     #[error(transparent)]
-    Store(#[from] StoreError),
+    Store(#[from] NotStored),
     #[error(transparent)]
     Node(#[from] NodeError),
 }
@@ -85,7 +86,7 @@
 pub struct Runner {
     socket: UdpSocket,
     node: FleetNode,
-    store: Option<Store>,
+    store: NodeStore,
     /// For a node that has to start anew.
     template: NodeTemplate,
     addresses: BTreeMap<FrontId, SocketAddr>,
@@ -119,7 +120,7 @@
         Runner {
             socket,
             node,
-            store,
+            store: NodeStore::new(store, config.installation.clone()),
             template,
             addresses: fronts.map(|f| (FrontId::from_name(&f.name), f.address)).collect(),
             channels,
@@ -152,6 +153,7 @@
             self.receive_datagrams();
             self.take_engine_reports();
             self.report_to_node();
+            self.recover_store();
             self.take_orders();
             self.node.advance_time(clock::both());
             self.process_outputs();
@@ -246,7 +248,7 @@
                 Output::SyncLog(update) => self.sync(|store| store.write_log(&update)),
                 Output::SyncVoterId(id) => self.sync(|store| store.write_voter_id(id)),
                 Output::CompactLog(update) => {
-                    if let Some(Err(why)) = self.store.as_ref().map(|store| store.write_log(&update)) {
+                    if let Err(why) = self.store.write(Instant::now(), |store| store.write_log(&update)) {
                         tracing::warn!(%why, "fleet: the log was not cut");
                     }
                 }
@@ -278,9 +280,9 @@
 
     /// What is not stored is not used, and not said to be: other fronts wait for a smaller minimum to be in use.
     fn store_minimums(&mut self, minimums: GuaranteedMinimums) {
-        match self.store.as_ref().map(|store| store.write_minimums(&minimums)) {
-            Some(Err(why)) => tracing::error!(%why, "fleet: floors can't be kept"),
-            _ => self.tell_engine(FleetUpdate::Minimums(minimums)),
+        match self.store.write(Instant::now(), |store| store.write_minimums(&minimums)) {
+            Ok(()) | Err(NotStored::NoStore) => self.tell_engine(FleetUpdate::Minimums(minimums)),
+            Err(why) => tracing::error!(%why, "fleet: floors can't be kept"),
         }
     }
 
@@ -290,31 +292,55 @@
     }
 
     fn sync(&mut self, write: impl FnOnce(&Store) -> Result<(), StoreError>) {
-        let result = match &self.store {
-            Some(store) => write(store).inspect_err(|why| {
-                let path = store.path().display();
-                tracing::error!(%why, %path, "fleet: the store failed, this front votes no more");
-            }),
-            None => return self.node.on_synced(SyncResult::Failed, clock::both()),
+        let result = match self.store.write(Instant::now(), write) {
+            Ok(()) => SyncResult::Synced,
+            Err(NotStored::NoStore) => SyncResult::Failed,
+            Err(why) => {
+                tracing::error!(%why, "fleet: the store failed, this front votes no more until it is well");
+                SyncResult::Failed
+            }
         };
-        let result = if result.is_ok() { SyncResult::Synced } else { SyncResult::Failed };
         self.node.on_synced(result, clock::both());
     }
 
-    /// The store is not the latest of this front: it is emptied, and a new node starts.
-    fn restart_with_empty_store(&mut self) {
-        let Some(store) = &self.store else { return };
-        match self.restart(store) {
+    /// A store that has failed is well again: a new node starts from it, as after a restart of the process. A front that is
+    /// leaving needs none.
+    fn recover_store(&mut self) {
+        if self.leaving.is_some() {
+            return;
+        }
+        let Some(recovered) = self.store.recover(Instant::now()) else { return };
+        let incarnation = recovered.incarnation;
+        match self.template.start(recovered) {
             Ok(node) => {
-                self.node = node;
-                self.tell_engine(FleetUpdate::Reset);
+                tracing::info!(incarnation, "fleet: the store is well again, this front votes again");
+                self.replace_node(node);
             }
             Err(why) => tracing::error!(%why, "fleet: can't begin anew"),
         }
     }
 
-    fn restart(&self, store: &Store) -> Result<FleetNode, RestartError> {
-        let recovered = store.reset(self.seen_incarnation)?;
+    fn replace_node(&mut self, node: FleetNode) {
+        self.node = node;
+        // Not to be lost: what the engine holds is the earlier node's.
+        let _ = self.channels.inputs.send(Input::Fleet(FleetUpdate::Reset));
+        self.process_outputs();
+    }
+
+    /// The store is not the latest of this front: it is emptied, and a new node starts.
+    fn restart_with_empty_store(&mut self) {
+        if !self.store.is_configured() {
+            return;
+        }
+        match self.restart() {
+            Ok(node) => self.replace_node(node),
+            Err(why) => tracing::error!(%why, "fleet: can't begin anew"),
+        }
+    }
+
+    fn restart(&mut self) -> Result<FleetNode, RestartError> {
+        let seen_incarnation = self.seen_incarnation;
+        let recovered = self.store.write(Instant::now(), |store| store.reset(seen_incarnation))?;
         Ok(self.template.start(recovered)?)
     }
 
--- a/front/src/process/mod.rs
+++ b/front/src/process/mod.rs
@@ -23,6 +23,14 @@
     Builder::new().name(name.into()).stack_size(STACK).spawn(body)
 }
 
+/// Starts a thread for work that needs more stack than a connection's.
+pub fn spawn_with_usual_stack(
+    name: &str,
+    body: impl FnOnce() + Send + 'static,
+) -> io::Result<JoinHandle<()>> {
+    Builder::new().name(name.into()).spawn(body)
+}
+
 /// A part of one, drawn for this front and occasion: what happens to all fronts at once must not bring them, or those
 /// whom they turn away, back at once.
 pub fn part(seed: u64, occasion: u64) -> f64 {
--- a/front/tests/fleet.rs
+++ b/front/tests/fleet.rs
@@ -555,9 +555,10 @@
     fleet.check("shop-rate", Whole { rate: 40.0 * 1.001, burst: 40.5 }).unwrap();
 }
 
-/// A voter whose disk is full votes no more, says so, and goes on holding its share; the others go on.
+/// A voter whose disk is full votes no more, says so, and goes on holding its share; the others go on. Once the disk has room it
+/// votes again, without a restart: with another voter gone, nothing is agreed on but by its vote.
 #[test]
-fn a_full_disk_ends_a_vote_and_nothing_else() {
+fn a_full_disk_ends_a_vote_for_as_long_as_it_is_full() {
     let mut fleet = Fleet::prepare(Path::new(env!("CARGO_BIN_EXE_elmtide")), Plan::new(3, 141)).unwrap();
     for node in &fleet.nodes {
         node.set(Behaviour { shed: 0.7, ..Behaviour::default() });
@@ -578,6 +579,16 @@
     assert!(until(|| fleet.role(victim).contains("does not vote")), "{}", fleet.role(victim));
     fleet.wait_shares(&[victim], RETRIES, 0.05).unwrap();
     fleet.wait_shares(&[0, 1, 2], RETRIES, 0.7).unwrap();
+    fleet.free_disk(victim).unwrap();
+    fleet.front(victim).log.wait("this front votes again", 0).unwrap();
+    assert!(until(|| !fleet.role(victim).contains("does not vote")), "{}", fleet.role(victim));
+    fleet.wait_shares(&[0, 1, 2], RETRIES, 0.7).unwrap();
+    let leader = fleet.leader().unwrap();
+    let gone = if leader == victim { other } else { leader };
+    fleet.kill(gone);
+    let left = others(&fleet, gone);
+    assert!(until(|| fleet.leader_among(&left).is_ok()), "the two that are left elect a leader");
+    fleet.wait_shares(&left, RETRIES, 0.3).unwrap();
     stop(loads);
     check(&fleet);
 }
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -413,8 +413,17 @@
 
     /// No file of this front grows or is written any more.
     pub fn fill_disk(&self, front: usize) -> Result<(), String> {
+        self.limit_files(front, "--fsize=0:unlimited")
+    }
+
+    /// Files of this front may grow again.
+    pub fn free_disk(&self, front: usize) -> Result<(), String> {
+        self.limit_files(front, "--fsize=unlimited:unlimited")
+    }
+
+    fn limit_files(&self, front: usize, limit: &str) -> Result<(), String> {
         let id = self.front(front).id().to_string();
-        let set = std::process::Command::new("prlimit").args(["--fsize=0:0", "--pid", &id]).status();
+        let set = std::process::Command::new("prlimit").args([limit, "--pid", &id]).status();
         set.map_err(|e| e.to_string()).and_then(|s| s.success().then_some(()).ok_or(format!("prlimit: {s}")))
     }
 
--- a/store/src/error.rs
+++ b/store/src/error.rs
@@ -26,6 +26,9 @@
     /// The file system or the database failed.
     #[error("the store can't be read or written: {0}")]
     Database(#[source] Box<redb::Error>),
+    /// The file that is to take the store's place can't be put there.
+    #[error("the store can't be written anew: {0}")]
+    Rewrite(#[source] std::io::Error),
     /// A record can't be encoded.
     #[error("the store can't be read or written: {0}")]
     Encoding(#[from] postcard::Error),
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -12,7 +12,11 @@
 //! | of another installation or a later format | rejected, the file is left as it is |
 //! | torn, a record that does not fit its checksum, a log with a gap | rejected: [`StoreError::Corrupt`] |
 //! | a copy from before | not seen here: others have seen a later incarnation, see `elmtide_fleet::Member` |
-//! | full | the call fails, nothing of it is written; the voter votes no more |
+//! | full, or failing | the call fails, nothing of it counts as written; nothing more is written by this opening |
+//! | well again | [`Store::rewrite`]: read, and written anew into another file, which takes its place |
+//!
+//! After a sync that failed, the system's cache may show as written what the disk never got, and a later sync of the same file
+//! succeeds over it. So a file whose writes have failed is not written on: its content goes whole into a new file.
 
 mod error;
 mod record;
@@ -36,6 +40,8 @@
 pub(crate) const FORMAT_VERSION: u32 = 1;
 const META_TABLE: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
 const LOG_TABLE: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
+/// Of the file that is to take a store's place.
+const REWRITE_EXTENSION: &str = "rewrite";
 /// Memory that the database uses to cache its file, in bytes.
 const CACHE_BYTES: usize = 1 << 20;
 
@@ -76,6 +82,48 @@
         Ok((store, recovered))
     }
 
+    /// Opens a store whose writes have failed: reads what it has, writes it anew into a file that is synced and takes its place,
+    /// and raises the incarnation. What was reported as written is in it; of a write that has failed, all or nothing.
+    ///
+    /// # Errors
+    /// As [`Store::open`], and if the new file can't take the old one's place. The store is as it was, or the new one already.
+    pub fn rewrite(path: &Path, installation: &str) -> Result<(Store, RecoveredState), StoreError> {
+        let mut builder = Database::builder();
+        builder.set_cache_size(CACHE_BYTES);
+        // Open until the new one is in its place: it keeps other processes out.
+        let old = Store { database: builder.open(path).map_err(open_error)?, path: path.to_owned() };
+        let mut state = old.read(installation)?;
+        state.incarnation += 1;
+        let new_path = path.with_extension(REWRITE_EXTENSION);
+        remove_if_present(&new_path).map_err(StoreError::Rewrite)?;
+        let database = builder.create(&new_path).map_err(open_error)?;
+        let new = Store { database, path: path.to_owned() };
+        new.write_state(installation, &state)?;
+        std::fs::rename(&new_path, path).map_err(StoreError::Rewrite)?;
+        sync_directory_of(path).map_err(StoreError::Rewrite)?;
+        Ok((new, state))
+    }
+
+    /// The whole content of a new file.
+    fn write_state(&self, installation: &str, state: &RecoveredState) -> Result<(), StoreError> {
+        self.write(|transaction| {
+            put(transaction, key::FORMAT, &FORMAT_VERSION)?;
+            put(transaction, key::INSTALLATION, &installation)?;
+            put(transaction, key::INCARNATION, &state.incarnation)?;
+            if let Some(voter) = &state.voter {
+                put(transaction, key::VOTER, voter)?;
+            }
+            put(transaction, key::MINIMUMS, &state.minimums)?;
+            put(transaction, key::HARD_STATE, &state.log.hard_state)?;
+            put(transaction, key::SNAPSHOT, &state.log.snapshot)?;
+            let mut log = transaction.open_table(LOG_TABLE).map_err(StoreError::database)?;
+            for entry in &state.log.entries {
+                log.insert(entry.index, &encode(entry)?[..]).map_err(StoreError::database)?;
+            }
+            Ok(())
+        })
+    }
+
     fn read(&self, installation: &str) -> Result<RecoveredState, StoreError> {
         let transaction = self.database.begin_read().map_err(StoreError::database)?;
         let Some(meta) = MetaRecords::open(&transaction)? else { return Ok(empty_state()) };
@@ -175,6 +223,19 @@
     }
 }
 
+fn remove_if_present(path: &Path) -> std::io::Result<()> {
+    match std::fs::remove_file(path) {
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => Ok(()),
+        removed => removed,
+    }
+}
+
+/// A file's name lasts once its directory is synced.
+fn sync_directory_of(path: &Path) -> std::io::Result<()> {
+    let directory = path.parent().filter(|parent| !parent.as_os_str().is_empty());
+    std::fs::File::open(directory.unwrap_or(Path::new(".")))?.sync_all()
+}
+
 fn open_error(error: DatabaseError) -> StoreError {
     match error {
         DatabaseError::DatabaseAlreadyOpen | DatabaseError::LockProtocolMismatch => StoreError::InUse,
--- a/store/tests/store.rs
+++ b/store/tests/store.rs
@@ -133,6 +133,44 @@
     assert!(refused > 100, "{refused} refused, {same} whole");
 }
 
+/// A store that is written anew has all that was kept, under a later incarnation, whatever an earlier try left behind.
+#[test]
+fn a_store_written_anew_has_what_was_kept() {
+    let file = File::new();
+    let store = begun(&file);
+    let floors = GuaranteedMinimums { epoch: Epoch(9), minimums: vec![(BudgetKind::Retries, 1000)] };
+    store.write_minimums(&floors).unwrap();
+    assert!(matches!(Store::rewrite(&file.0, "duna"), Err(StoreError::InUse)), "by its own process too");
+    drop(store);
+    let left_behind = File(file.0.with_extension("rewrite"));
+    fs::write(&left_behind.0, b"half a store").unwrap();
+    let (store, kept) = Store::rewrite(&file.0, "duna").unwrap();
+    assert!(!left_behind.0.exists());
+    assert_eq!((kept.incarnation, kept.voter), (2, Some(VoterId(77))));
+    assert_eq!(kept.minimums, floors);
+    assert!(matches!(Store::open(&file.0, "duna"), Err(StoreError::InUse)), "the file is this opening's");
+    store.write_log(&StorageUpdate { entries: entries(10, 10, 3), ..StorageUpdate::default() }).unwrap();
+    drop(store);
+    let (_store, kept) = Store::open(&file.0, "duna").unwrap();
+    assert_eq!((kept.incarnation, kept.voter, kept.minimums), (3, Some(VoterId(77)), floors));
+    assert_eq!(kept.log.hard_state, HardState { term: 3, vote: 77, commit: 1 });
+    assert_eq!(kept.log.snapshot.index, 1);
+    assert_eq!(kept.log.entries.iter().map(|e| e.index).collect::<Vec<_>>(), (2..=10).collect::<Vec<_>>());
+}
+
+/// What can't be trusted, belongs to others or is not there is not written anew.
+#[test]
+fn only_a_store_is_written_anew() {
+    let file = File::new();
+    assert!(Store::rewrite(&file.0, "duna").is_err());
+    assert!(!file.0.exists(), "no new store takes the place of one that is gone");
+    drop(begun(&file));
+    assert!(matches!(Store::rewrite(&file.0, "other"), Err(StoreError::OtherInstallation { .. })));
+    fs::write(&file.0, b"no store").unwrap();
+    assert!(Store::rewrite(&file.0, "duna").is_err());
+    assert_eq!(fs::read(&file.0).unwrap(), b"no store");
+}
+
 #[test]
 fn what_is_no_store_is_refused() {
     let file = File::new();
