--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! | what is found | what is done |
 //! | --- | --- |
-//! | no file | a new store, incarnation 1 |
+//! | no file, or an empty one | a new store, incarnation 1; where there is no file it is put there once it is whole |
 //! | another process has it open | rejected: [`StoreError::InUse`] |
 //! | of another installation or a later format | rejected, the file is left as it is |
 //! | torn, a record that does not fit its checksum, a log with a gap | rejected: [`StoreError::Corrupt`] |
@@ -20,6 +20,7 @@
 
 mod error;
 mod record;
+mod replacement;
 
 use std::path::{Path, PathBuf};
 
@@ -28,7 +29,8 @@
 use elmtide_consensus::VoterId;
 use elmtide_fleet::RecoveredState;
 use redb::{
-    Database, DatabaseError, ReadTransaction, ReadableDatabase, ReadableTable, StorageError, TableDefinition,
+    Builder, Database, DatabaseError, ReadTransaction, ReadableDatabase, ReadableTable, StorageBackend,
+    StorageError, TableDefinition,
 };
 use redb::{TableError, WriteTransaction};
 use serde::de::DeserializeOwned;
@@ -40,8 +42,6 @@
 pub(crate) const FORMAT_VERSION: u32 = 1;
 const META_TABLE: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
 const LOG_TABLE: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
-/// Of the file that is to take a store's place.
-const REWRITE_EXTENSION: &str = "rewrite";
 /// Memory that the database uses to cache its file, in bytes.
 const CACHE_BYTES: usize = 1 << 20;
 
@@ -68,10 +68,44 @@
     /// # Errors
     /// If the file is in use, belongs to another installation or format, can't be trusted, or can't be read or written.
     pub fn open(path: &Path, installation: &str) -> Result<(Store, RecoveredState), StoreError> {
-        let mut builder = Database::builder();
-        builder.set_cache_size(CACHE_BYTES);
-        let database = builder.create(path).map_err(open_error)?;
-        let store = Store { database, path: path.to_owned() };
+        if !path.exists() {
+            if let Some(created) = Store::create(path, installation)? {
+                return Ok(created);
+            }
+            // Another process was quicker.
+        }
+        let database = database_builder().create(path).map_err(open_error)?;
+        Store { database, path: path.to_owned() }.begin(installation)
+    }
+
+    /// Creates a store beside its path, and puts it there whole: a process killed in the middle leaves nothing there that would
+    /// be refused later. `None` if there is one by now.
+    fn create(path: &Path, installation: &str) -> Result<Option<(Store, RecoveredState)>, StoreError> {
+        let new_path = replacement::new_path(path);
+        let database = database_builder().create(&new_path).map_err(open_error)?;
+        let created = Store { database, path: path.to_owned() }.begin(installation)?;
+        if !replacement::put_if_absent(&new_path, path).map_err(StoreError::Rewrite)? {
+            return Ok(None);
+        }
+        replacement::remove_leftovers(path);
+        Ok(Some(created))
+    }
+
+    /// Opens a store, or creates it, on storage that is no file: what a disk does in a crash can be simulated by it.
+    ///
+    /// # Errors
+    /// As [`Store::open`].
+    pub fn open_on(
+        storage: impl StorageBackend,
+        installation: &str,
+    ) -> Result<(Store, RecoveredState), StoreError> {
+        let database = database_builder().create_with_backend(storage).map_err(open_error)?;
+        Store { database, path: PathBuf::new() }.begin(installation)
+    }
+
+    /// Reads what is there, and raises the incarnation.
+    fn begin(self, installation: &str) -> Result<(Store, RecoveredState), StoreError> {
+        let store = self;
         let mut recovered = store.read(installation)?;
         recovered.incarnation += 1;
         store.write(|transaction| {
@@ -88,19 +122,17 @@
     /// # Errors
     /// As [`Store::open`], and if the new file can't take the old one's place. The store is as it was, or the new one already.
     pub fn rewrite(path: &Path, installation: &str) -> Result<(Store, RecoveredState), StoreError> {
-        let mut builder = Database::builder();
-        builder.set_cache_size(CACHE_BYTES);
         // Open until the new one is in its place: it keeps other processes out.
-        let old = Store { database: builder.open(path).map_err(open_error)?, path: path.to_owned() };
+        let old =
+            Store { database: database_builder().open(path).map_err(open_error)?, path: path.to_owned() };
         let mut state = old.read(installation)?;
         state.incarnation += 1;
-        let new_path = path.with_extension(REWRITE_EXTENSION);
-        remove_if_present(&new_path).map_err(StoreError::Rewrite)?;
-        let database = builder.create(&new_path).map_err(open_error)?;
+        replacement::remove_leftovers(path);
+        let new_path = replacement::new_path(path);
+        let database = database_builder().create(&new_path).map_err(open_error)?;
         let new = Store { database, path: path.to_owned() };
         new.write_state(installation, &state)?;
-        std::fs::rename(&new_path, path).map_err(StoreError::Rewrite)?;
-        sync_directory_of(path).map_err(StoreError::Rewrite)?;
+        replacement::put(&new_path, path).map_err(StoreError::Rewrite)?;
         Ok((new, state))
     }
 
@@ -223,17 +255,10 @@
     }
 }
 
-fn remove_if_present(path: &Path) -> std::io::Result<()> {
-    match std::fs::remove_file(path) {
-        Err(error) if error.kind() == std::io::ErrorKind::NotFound => Ok(()),
-        removed => removed,
-    }
-}
-
-/// A file's name lasts once its directory is synced.
-fn sync_directory_of(path: &Path) -> std::io::Result<()> {
-    let directory = path.parent().filter(|parent| !parent.as_os_str().is_empty());
-    std::fs::File::open(directory.unwrap_or(Path::new(".")))?.sync_all()
+fn database_builder() -> Builder {
+    let mut builder = Database::builder();
+    builder.set_cache_size(CACHE_BYTES);
+    builder
 }
 
 fn open_error(error: DatabaseError) -> StoreError {
--- a/store/tests/store.rs
+++ b/store/tests/store.rs
@@ -133,6 +133,12 @@
     assert!(refused > 100, "{refused} refused, {same} whole");
 }
 
+/// What a killed process of an earlier day has left beside a store.
+fn left_behind(file: &File) -> File {
+    let name = format!("{}.new-1-0", file.0.file_name().unwrap().to_string_lossy());
+    File(file.0.with_file_name(name))
+}
+
 /// A store that is written anew has all that was kept, under a later incarnation, whatever an earlier try left behind.
 #[test]
 fn a_store_written_anew_has_what_was_kept() {
@@ -142,7 +148,7 @@
     store.write_minimums(&floors).unwrap();
     assert!(matches!(Store::rewrite(&file.0, "duna"), Err(StoreError::InUse)), "by its own process too");
     drop(store);
-    let left_behind = File(file.0.with_extension("rewrite"));
+    let left_behind = left_behind(&file);
     fs::write(&left_behind.0, b"half a store").unwrap();
     let (store, kept) = Store::rewrite(&file.0, "duna").unwrap();
     assert!(!left_behind.0.exists());
@@ -158,6 +164,31 @@
     assert_eq!(kept.log.entries.iter().map(|e| e.index).collect::<Vec<_>>(), (2..=10).collect::<Vec<_>>());
 }
 
+/// A process killed while it creates a store leaves nothing that the next one stumbles over.
+#[test]
+fn what_a_creation_left_behind_is_no_store() {
+    let file = File::new();
+    let left_behind = left_behind(&file);
+    fs::write(&left_behind.0, b"half a store").unwrap();
+    let (_store, kept) = Store::open(&file.0, "duna").unwrap();
+    assert_eq!(kept.incarnation, 1);
+    assert!(!left_behind.0.exists());
+}
+
+/// Of several processes that create one store at once, one has it.
+#[test]
+fn a_store_is_created_once() {
+    for _ in 0..20 {
+        let file = File::new();
+        let open = || Store::open(&file.0, "duna");
+        let opened: Vec<_> = std::thread::scope(|scope| {
+            let threads: Vec<_> = (0..4).map(|_| scope.spawn(open)).collect();
+            threads.into_iter().map(|thread| thread.join().unwrap()).collect()
+        });
+        assert_eq!(opened.iter().filter(|result| result.is_ok()).count(), 1);
+    }
+}
+
 /// What can't be trusted, belongs to others or is not there is not written anew.
 #[test]
 fn only_a_store_is_written_anew() {
