Go on after a failing disk with the zone's serial and the log of spendings

Cause: by reading what else writes under a lasting folder. A serial that could not be saved when its zone came into force was never saved, so a restart could begin with an earlier one, which secondaries ignore; the log of spendings ended for good at its first failed write, without a word that anything is missing; plans and serials were renamed into place unsynced, and no directory was synced. Ruled out: the hand-over of signups; it writes anew by itself (its test passes before and after). Change: process/durable_file replaces a file whole (written, synced, renamed, directory synced) for plans, serials and the hand-over; the serial is tried again every second; records of spendings wait until they can be written, and a part that was not written whole is cut off first.

--- a/front/src/edge/plan.rs
+++ b/front/src/edge/plan.rs
@@ -7,6 +7,7 @@
 
 use crate::edge::cells::CellsConfig;
 use crate::edge::config::{EdgeConfig, FrontState};
+use crate::process::durable_file;
 
 pub const VERSION: u32 = 1;
 
@@ -47,8 +48,7 @@
         let failed = |e: std::io::Error| format!("{}: {e}", path.display());
         let text = serde_json::to_string_pretty(self).map_err(|e| e.to_string())?;
         let part = PathBuf::from(format!("{}.part", path.display()));
-        std::fs::write(&part, text + "\n").map_err(failed)?;
-        std::fs::rename(&part, path).map_err(failed)
+        durable_file::replace(path, &part, durable_file::READABLE, (text + "\n").as_bytes()).map_err(failed)
     }
 }
 
--- a/front/src/edge/serial.rs
+++ b/front/src/edge/serial.rs
@@ -6,6 +6,7 @@
 use elmtide_dns::zone::next_serial;
 
 use crate::edge::config::EdgeConfig;
+use crate::process::durable_file;
 
 /// A serial and the zone that had it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,9 +33,9 @@
     /// Whole or not at all.
     pub fn save(&self, path: &Path) -> Result<(), String> {
         let failed = |e: std::io::Error| format!("{}: {e}", path.display());
+        let line = format!("{} {}\n", self.serial, self.zone);
         let part = path.with_extension("part");
-        std::fs::write(&part, format!("{} {}\n", self.serial, self.zone)).map_err(failed)?;
-        std::fs::rename(&part, path).map_err(failed)
+        durable_file::replace(path, &part, durable_file::READABLE, line.as_bytes()).map_err(failed)
     }
 }
 
--- a/front/src/fleet/spend_log.rs
+++ b/front/src/fleet/spend_log.rs
@@ -1,20 +1,26 @@
 //! A log of all spending, one line a unit, for checkers that add up what all fronts have spent: microseconds of the machine's Unix
 //! clock, kind and resource of the budget, units, and what they were taken from.
 
+use std::fmt::Write as _;
 use std::fs::File;
-use std::io::{BufWriter, Write};
+use std::io::{self, Write};
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::Arc;
+use std::time::Duration;
 
 use crossbeam_channel::{bounded, Receiver, Sender};
 use elmtide_budgets::{BudgetId, Micros, PermitSource};
 
+use crate::process::backoff::Backoff;
 use crate::process::spawn;
 
 /// Records that wait to be written; further ones are counted as lost, and then nothing can be concluded from the log.
 const MAX_WAITING_RECORDS: usize = 65_536;
 
+/// Between two tries to write to a file that can't be written: the first, and the longest.
+const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+
 #[derive(Clone, Copy, Debug)]
 struct SpendRecord {
     at: Micros,
@@ -24,13 +30,13 @@
 }
 
 impl SpendRecord {
-    fn write(&self, file: &mut impl Write) -> std::io::Result<()> {
+    fn append_line(&self, lines: &mut String) {
         let SpendRecord { at, budget, units, source } = self;
         let source = match source {
             PermitSource::Lease => "Share",
             PermitSource::GuaranteedMinimum => "Floor",
         };
-        writeln!(file, "{at} {} {} {units} {source}", budget.kind.name(), budget.resource)
+        let _ = writeln!(lines, "{at} {} {} {units} {source}", budget.kind.name(), budget.resource);
     }
 }
 
@@ -44,13 +50,11 @@
 impl SpendLog {
     /// Opens the file and starts the thread.
     pub fn start(path: &Path) -> Result<SpendLog, String> {
-        let file = File::options().create(true).append(true).open(path);
-        let file = BufWriter::new(file.map_err(|e| format!("{}: {e}", path.display()))?);
+        let file = SpendFile::open(path).map_err(|e| format!("{}: {e}", path.display()))?;
         let (records, waiting) = bounded(MAX_WAITING_RECORDS);
         let lost = Arc::new(AtomicU64::new(0));
         let lost_count = lost.clone();
-        // A log that can't be written ends; what follows is counted as lost.
-        let write = move || drop(write_records(file, &waiting, &lost_count));
+        let write = move || write_records(file, &waiting, &lost_count);
         spawn("fleet-record", write).map_err(|e| e.to_string())?;
         Ok(SpendLog { records, lost })
     }
@@ -64,21 +68,49 @@
     }
 }
 
-fn write_records(
-    mut file: BufWriter<File>,
-    waiting: &Receiver<SpendRecord>,
-    lost: &AtomicU64,
-) -> std::io::Result<()> {
+/// The file, of which a part that was not written whole is cut off again.
+struct SpendFile {
+    file: File,
+    /// Bytes that were written whole.
+    length: u64,
+}
+
+impl SpendFile {
+    fn open(path: &Path) -> io::Result<SpendFile> {
+        let file = File::options().create(true).append(true).open(path)?;
+        let length = file.metadata()?.len();
+        Ok(SpendFile { file, length })
+    }
+
+    fn append(&mut self, lines: &str) -> io::Result<()> {
+        if self.file.metadata()?.len() != self.length {
+            self.file.set_len(self.length)?;
+        }
+        self.file.write_all(lines.as_bytes())?;
+        self.length += lines.len() as u64;
+        Ok(())
+    }
+}
+
+/// Writes records as they come. While the file can't be written they wait: those that find no room are counted as lost.
+fn write_records(mut file: SpendFile, waiting: &Receiver<SpendRecord>, lost: &AtomicU64) {
+    let mut backoff = Backoff::new(RETRY_PAUSE.0, RETRY_PAUSE.1);
     while let Ok(first) = waiting.recv() {
-        first.write(&mut file)?;
+        let mut lines = String::new();
+        first.append_line(&mut lines);
         for record in waiting.try_iter() {
-            record.write(&mut file)?;
+            record.append_line(&mut lines);
         }
         let lost = lost.swap(0, Relaxed);
         if lost > 0 {
-            writeln!(file, "lost {lost}")?;
+            let _ = writeln!(lines, "lost {lost}");
         }
-        file.flush()?;
+        while file.append(&lines).is_err() {
+            std::thread::sleep(backoff.pause());
+        }
+        backoff.reset();
     }
-    Ok(())
 }
+
+#[cfg(test)]
+mod tests;
--- a/front/src/lifecycle/edge.rs
+++ b/front/src/lifecycle/edge.rs
@@ -41,6 +41,8 @@
 /// Changes of the fronts that are remembered while keys change hands.
 const FORMERS: usize = 16;
 const SECRET_BYTES: u64 = 64 * 1024;
+/// A serial that could not be saved is tried again after so long.
+const SERIAL_RETRY: Ms = 1000.0;
 /// A secret of our own is rolled over so often where nothing else is set.
 const ROLL_S: u32 = 24 * 3600;
 /// A cookie of a secret taken out of service is young enough for so long.
@@ -92,6 +94,8 @@
     peers: Option<Peers>,
     notifier: Option<Notifier>,
     kept: Option<Kept>,
+    /// The serial could not be saved: when that is tried again.
+    unsaved_serial: Option<Ms>,
     secret: SecretSource,
     /// The process has been told to end.
     ending: bool,
@@ -168,6 +172,7 @@
             peers: None,
             notifier: None,
             kept: None,
+            unsaved_serial: None,
             secret: SecretSource::Own { since: clock::steady_ms() },
             ending: false,
             counted: Vec::new(),
@@ -374,9 +379,11 @@
     }
 
     fn put_in_force(&self, live: &mut Live, next: Next) {
+        live.unsaved_serial = None;
         if let (Some(kept), Some(path)) = (&next.kept, &next.state.config.serial_file) {
             if let Err(why) = kept.save(path) {
-                eprintln!("edge: the serial is not kept: {why}");
+                eprintln!("edge: the serial is not kept: {why}; trying again until it is");
+                live.unsaved_serial = Some(clock::steady_ms() + SERIAL_RETRY);
             }
         }
         (live.kept, live.steering, live.peers, live.notifier) =
@@ -450,10 +457,27 @@
         if live.steering.is_none() {
             return;
         }
+        self.save_serial(&mut live, now);
         sockets.turn(&mut live, now);
         self.refresh(&mut live, now);
     }
 
+    /// Tries again to save a serial: without it the next process might begin with an earlier one, which secondaries ignore.
+    fn save_serial(&self, live: &mut Live, now: Ms) {
+        if live.unsaved_serial.is_none_or(|retry_at| now < retry_at) {
+            return;
+        }
+        let config = self.in_force();
+        let (Some(kept), Some(path)) = (&live.kept, &config.serial_file) else { return };
+        live.unsaved_serial = match kept.save(path) {
+            Ok(()) => {
+                eprintln!("edge: the serial is kept");
+                None
+            }
+            Err(_) => Some(now + SERIAL_RETRY),
+        };
+    }
+
     /// The part of the requests that was turned away of late.
     fn shed(&self, live: &mut Live, now: Ms) -> f64 {
         let refused = self.counters.refused.load(Relaxed) + self.counters.refused_early.load(Relaxed);
--- a/front/src/lifecycle/handover.rs
+++ b/front/src/lifecycle/handover.rs
@@ -6,7 +6,7 @@
 //! stopped at which step. It rests on that lock and on rename; on no clock, and on no guess who lives.
 
 use std::fs::{self, File, OpenOptions, TryLockError};
-use std::io::{self, Read, Write};
+use std::io::{self, Read};
 use std::os::unix::fs::{MetadataExt, OpenOptionsExt};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::memory::ledger::{Ledger, Sealed};
-use crate::process::clock;
+use crate::process::{clock, durable_file};
 
 /// The first bytes of the file: what it is and its version.
 const MAGIC: &[u8; 18] = b"elmtide-signups 1\n";
@@ -148,16 +148,7 @@
     fn put(&self, word: &Word) -> io::Result<()> {
         let bytes = encode(word).ok_or(io::ErrorKind::FileTooLarge)?;
         let beside = self.path.with_extension(format!("signups-{:016x}", self.run.0));
-        let _ = fs::remove_file(&beside);
-        let mut file = OpenOptions::new().write(true).create_new(true).mode(0o600).open(&beside)?;
-        let done = file
-            .write_all(&bytes)
-            .and_then(|()| file.sync_data())
-            .and_then(|()| fs::rename(&beside, &self.path));
-        if done.is_err() {
-            let _ = fs::remove_file(&beside);
-        }
-        done
+        durable_file::replace(&self.path, &beside, durable_file::PRIVATE, &bytes)
     }
 
     /// Opens the ledger if the process before has sealed what it knew, or if `waited` says that its clients have given
--- a/front/src/process/mod.rs
+++ b/front/src/process/mod.rs
@@ -3,6 +3,7 @@
 pub mod accept;
 pub mod backoff;
 pub mod clock;
+pub mod durable_file;
 pub mod log;
 pub mod socket_error;
 pub mod transient;
--- a/front/tests/fleet.rs
+++ b/front/tests/fleet.rs
@@ -579,7 +579,9 @@
     assert!(until(|| fleet.role(victim).contains("does not vote")), "{}", fleet.role(victim));
     fleet.wait_shares(&[victim], RETRIES, 0.05).unwrap();
     fleet.wait_shares(&[0, 1, 2], RETRIES, 0.7).unwrap();
+    let recorded = fleet.recorded(victim);
     fleet.free_disk(victim).unwrap();
+    assert!(until(|| fleet.recorded(victim) > recorded), "what was spent meanwhile is put down");
     fleet.front(victim).log.wait("this front votes again", 0).unwrap();
     assert!(until(|| !fleet.role(victim).contains("does not vote")), "{}", fleet.role(victim));
     fleet.wait_shares(&[0, 1, 2], RETRIES, 0.7).unwrap();
--- a/front/tests/process_faults.rs
+++ b/front/tests/process_faults.rs
@@ -320,6 +320,26 @@
     reply.split(' ').nth(1).unwrap_or_default().to_owned()
 }
 
+/// The file of the zone's serial can't be written when a zone comes into force: the zone is served, and the serial is kept once
+/// the disk is well.
+#[test]
+fn a_serial_is_kept_once_the_disk_is_well() {
+    let folder = folder();
+    let faults = Faults::new(&folder, 32).unwrap();
+    faults.set_failure_rate(FailingCalls::Disk, 1000).unwrap();
+    let edge = format!("{EDGE}[[name]]\nname = \"branch\"\naddresses = [\"127.0.0.1\"]\n");
+    let edge = format!("serial = 7\nserial_file = \"serial\"\n{edge}");
+    let environment = faults.environment();
+    let environment: Vec<(&str, &str)> = environment.iter().map(|(n, v)| (*n, &v[..])).collect();
+    let program = Program::start_in(folder, &["s-1"], Some(&edge), 1024, &environment);
+    program.log.wait("the serial is not kept", 0);
+    program.edge("http", 0);
+    let serial = || std::fs::read_to_string(program.folder.join("serial")).unwrap_or_default();
+    assert_eq!(serial(), "");
+    faults.set_failure_rate(FailingCalls::Disk, 0).unwrap();
+    assert!(until(|| serial().starts_with("7 ")), "{}", serial());
+}
+
 /// The folder that is left to the next process can't be written for a while: signups are refused meanwhile, and taken again by
 /// itself once the disk is well; what ran is left in order at the end.
 #[test]
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -588,6 +588,12 @@
         }
     }
 
+    /// How many spendings a front has put down so far.
+    pub fn recorded(&self, front: usize) -> usize {
+        let text = std::fs::read_to_string(self.records.join(NAME[front])).unwrap_or_default();
+        text.lines().count()
+    }
+
     /// All spendings of all fronts so far, in the order of their times: microseconds, kind, id, units. An error where records
     /// were lost: then nothing can be concluded.
     pub fn records(&self) -> Result<Vec<Spent>, String> {
