--- a/front/src/lifecycle/edge.rs
+++ b/front/src/lifecycle/edge.rs
@@ -3,9 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
-use std::net::{IpAddr, SocketAddr, UdpSocket};
-use std::os::unix::fs::PermissionsExt;
-use std::path::Path;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, SystemTime};
@@ -13,7 +11,7 @@
 use elmtide::Ms;
 use elmtide_dns::answer::{Served, NSID};
 use elmtide_dns::cookie::{Secret, Secrets};
-use elmtide_dns::notify::{Ended, Notifier};
+use elmtide_dns::notify::Notifier;
 use elmtide_dns::peers::{self, Peers};
 use elmtide_dns::transfer::History;
 use elmtide_dns::tsig::Keys;
@@ -26,6 +24,8 @@
 use crate::edge::serial::{serial_for, Kept};
 use crate::fleet::site_failover::SiteFailover;
 use crate::lifecycle::apply_error::ApplyError;
+use crate::lifecycle::cookie_secrets::{random, read_private, read_secrets, SecretSource};
+use crate::lifecycle::peer_sockets::PeerSockets;
 use crate::memory::counters::Counters;
 use crate::memory::ledger::LIVES;
 use crate::memory::longest::Longest;
@@ -40,13 +40,8 @@
 const SHED_OVER: (Ms, u64) = (2000.0, 20);
 /// Changes of the fronts that are remembered while keys change hands.
 const FORMERS: usize = 16;
-const SECRET_BYTES: u64 = 64 * 1024;
 /// A serial that could not be saved is tried again after so long.
 const SERIAL_RETRY: Ms = 1000.0;
-/// A secret of our own is rolled over so often where nothing else is set.
-const ROLL_S: u32 = 24 * 3600;
-/// A cookie of a secret taken out of service is young enough for so long.
-const FILE_LOOK: Ms = 1000.0;
 
 /// An address that this front serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -82,12 +77,6 @@
     }
 }
 
-/// Where the cookies' secret comes from.
-enum SecretSource {
-    Own { since: Ms },
-    File { changed: Option<SystemTime>, looked: Ms },
-}
-
 /// What changes while a configuration is in force.
 struct Live {
     steering: Option<Steering>,
@@ -117,47 +106,10 @@
     longest: Longest,
 }
 
-fn random<const N: usize>() -> [u8; N] {
-    let mut bytes = [0; N];
-    if getrandom::fill(&mut bytes).is_err() {
-        // Without it cookies could be guessed; they prove little then, but nothing breaks.
-        eprintln!("edge: the system gives no random numbers");
-    }
-    bytes
-}
-
 fn seed() -> u64 {
     u64::from_le_bytes(random())
 }
 
-/// A file that nobody else may read.
-fn private(path: &Path) -> Result<String, String> {
-    let failed = |e: &dyn fmt::Display| format!("{}: {e}", path.display());
-    let about = std::fs::metadata(path).map_err(|e| failed(&e))?;
-    if about.permissions().mode() & 0o077 != 0 {
-        return Err(failed(&"others may read it: it has to be of mode 0600"));
-    }
-    if about.len() > SECRET_BYTES {
-        return Err(failed(&format!("over {SECRET_BYTES} bytes")));
-    }
-    std::fs::read_to_string(path).map_err(|e| failed(&e))
-}
-
-fn read_secrets(path: &Path) -> Result<Secrets, String> {
-    let text = private(path)?;
-    let mut lines = text.lines().map(str::trim).filter(|l| !l.is_empty() && !l.starts_with('#'));
-    let bad = || format!("{}: one or two lines of 32 hex digits are wanted", path.display());
-    let current = lines.next().and_then(Secret::parse).ok_or_else(bad)?;
-    let other = match lines.next() {
-        None => None,
-        Some(line) => Some(Secret::parse(line).ok_or_else(bad)?),
-    };
-    match lines.next() {
-        Some(_) => Err(bad()),
-        None => Ok(Secrets::new(current, other)),
-    }
-}
-
 impl Edge {
     pub fn new(
         name: String,
@@ -173,7 +125,7 @@
             notifier: None,
             kept: None,
             unsaved_serial: None,
-            secret: SecretSource::Own { since: clock::steady_ms() },
+            secret: SecretSource::own(),
             ending: false,
             counted: Vec::new(),
             own: Condition::NotReady,
@@ -293,7 +245,9 @@
         };
         let keys = match &to.key_file {
             None => Keys::default(),
-            Some(path) => Keys::parse(&private(path)?).map_err(|why| format!("{}: {why}", path.display()))?,
+            Some(path) => {
+                Keys::parse(&read_private(path)?).map_err(|why| format!("{}: {why}", path.display()))?
+            }
         };
         let named = |name: &String| -> Result<Box<[u8]>, String> {
             let wire = parse_name(name, &[0])?;
@@ -389,10 +343,8 @@
         (live.kept, live.steering, live.peers, live.notifier) =
             (next.kept, next.steering, next.peers, next.notifier);
         match (next.file, &live.secret) {
-            (Some(changed), _) => live.secret = SecretSource::File { changed, looked: clock::steady_ms() },
-            (None, SecretSource::File { .. }) => {
-                live.secret = SecretSource::Own { since: clock::steady_ms() }
-            }
+            (Some(changed), _) => live.secret = SecretSource::file(changed),
+            (None, SecretSource::File { .. }) => live.secret = SecretSource::own(),
             (None, SecretSource::Own { .. }) => {}
         }
         if let Some(served) = &next.state.served {
@@ -427,7 +379,7 @@
     pub fn watch(self: &Arc<Self>) -> std::io::Result<()> {
         let edge = self.clone();
         // The threads of one front ask and tell by the same sockets for good.
-        let sockets = Sockets::bind()?;
+        let sockets = PeerSockets::bind()?;
         let run = move || loop {
             let look = || edge.look(&sockets);
             if std::panic::catch_unwind(std::panic::AssertUnwindSafe(look)).is_err() {
@@ -451,14 +403,15 @@
         std::mem::take(&mut *listeners).values().for_each(Listener::stop);
     }
 
-    fn look(&self, sockets: &Sockets) {
+    fn look(&self, sockets: &PeerSockets) {
         let now = clock::steady_ms();
         let mut live = self.live();
         if live.steering.is_none() {
             return;
         }
         self.save_serial(&mut live, now);
-        sockets.turn(&mut live, now);
+        let Live { peers, steering, notifier, .. } = &mut *live;
+        sockets.turn(peers, steering, notifier, now);
         self.refresh(&mut live, now);
     }
 
@@ -520,7 +473,7 @@
         }
         steering.tick(now);
         let view = steering.view();
-        let secrets = self.secrets(live, &current, now);
+        let secrets = live.secret.renew(&current, now);
         let state = Some(own_state(&served.zone, own));
         if view == served.view && secrets.is_none() && state == served.state {
             return;
@@ -529,41 +482,6 @@
         let served = Served { view, secrets, state, ..served.clone() };
         self.in_force.set(State { served: Some(served), ..(*current).clone() });
     }
-
-    /// Other secrets, if it is time for them.
-    fn secrets(&self, live: &mut Live, current: &State, now: Ms) -> Option<Secrets> {
-        let served = current.served.as_ref()?;
-        match (&mut live.secret, &current.config.cookie_secret_file) {
-            (SecretSource::Own { since }, _) => {
-                let every = f64::from(current.config.cookie_roll_s.unwrap_or(ROLL_S)) * 1000.0;
-                if now - *since < every {
-                    return None;
-                }
-                *since = now;
-                eprintln!("edge: the cookies' secret is rolled over");
-                Some(served.secrets.roll(Secret::new(random())))
-            }
-            (SecretSource::File { changed, looked }, Some(path)) if now - *looked >= FILE_LOOK => {
-                *looked = now;
-                let at = std::fs::metadata(path).and_then(|m| m.modified()).ok();
-                if at == *changed {
-                    return None;
-                }
-                *changed = at;
-                match read_secrets(path) {
-                    Ok(secrets) => {
-                        eprintln!("edge: the cookies' secrets are read anew");
-                        Some(secrets)
-                    }
-                    Err(why) => {
-                        eprintln!("edge: the cookies' secrets stay as they are: {why}");
-                        None
-                    }
-                }
-            }
-            _ => None,
-        }
-    }
 }
 
 /// Where clients of the file's branches go by the plan in force, for branches that are sites and not whole.
@@ -599,78 +517,3 @@
     /// When the secrets' file was changed, where there is one.
     file: Option<Option<SystemTime>>,
 }
-
-/// By which other fronts are asked and secondaries told.
-struct Sockets {
-    v4: UdpSocket,
-    v6: Option<UdpSocket>,
-}
-
-impl Sockets {
-    fn bind() -> std::io::Result<Sockets> {
-        let v4 = UdpSocket::bind("127.0.0.1:0")?;
-        v4.set_nonblocking(true)?;
-        let v6 = UdpSocket::bind("[::1]:0").ok();
-        if let Some(v6) = &v6 {
-            v6.set_nonblocking(true)?;
-        }
-        Ok(Sockets { v4, v6 })
-    }
-
-    fn send(&self, to: SocketAddr, bytes: &[u8]) {
-        let socket = match to.ip() {
-            IpAddr::V4(_) => Some(&self.v4),
-            IpAddr::V6(_) => self.v6.as_ref(),
-        };
-        // What is lost here is asked again.
-        if let Some(socket) = socket {
-            let _ = socket.send_to(bytes, to);
-        }
-    }
-
-    fn turn(&self, live: &mut Live, now: Ms) {
-        let mut bytes = [0; 2048];
-        for socket in [Some(&self.v4), self.v6.as_ref()].into_iter().flatten() {
-            for _ in 0..64 {
-                let Ok((got, from)) = socket.recv_from(&mut bytes) else { break };
-                let said = &bytes[..got];
-                if let Some((front, condition)) = live.peers.as_mut().and_then(|p| p.received(from, said)) {
-                    if let Some(steering) = &mut live.steering {
-                        steering.report(front, condition, now);
-                    }
-                } else if let Some(ended) = live.notifier.as_mut().and_then(|n| n.received(from, said, now)) {
-                    tell(ended);
-                }
-            }
-        }
-        while let Some((to, bytes)) = live.peers.as_mut().and_then(|p| p.poll(now)) {
-            self.send(to, &bytes);
-        }
-        while let Some(next) = live.notifier.as_mut().and_then(|n| n.poll(now)) {
-            match next {
-                Ok((to, bytes)) => self.send(to, &bytes),
-                Err(ended) => tell(ended),
-            }
-        }
-    }
-
-    /// Until something comes, or so long.
-    fn wait(&self, most: Duration) {
-        use rustix::event::{poll, PollFd, PollFlags, Timespec};
-        let sockets = [Some(&self.v4), self.v6.as_ref()];
-        let mut fds: Vec<PollFd<'_>> =
-            sockets.into_iter().flatten().map(|s| PollFd::new(s, PollFlags::IN)).collect();
-        let most = Timespec { tv_sec: 0, tv_nsec: i64::from(most.subsec_nanos()) };
-        let _ = poll(&mut fds, Some(&most));
-    }
-}
-
-fn tell(ended: Ended) {
-    match ended {
-        Ended::Heard(_) => {}
-        Ended::Declined(at, code) => eprintln!("notify: {at} declines with code {}", code.0),
-        Ended::Silent(at) => {
-            eprintln!("notify: {at} does not answer; it learns of the change by itself, later")
-        }
-    }
-}
