Move the second front's listen addresses out of the edge, which ended an import circle

Cause: lifecycle/apply_error named a type of lifecycle/edge, which names the error. Change: the type has a file of its own, moved unchanged.

--- a/front/src/lifecycle/apply_error.rs
+++ b/front/src/lifecycle/apply_error.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use crate::lifecycle::edge::Listens;
+use crate::lifecycle::listen_address::Listens;
 use crate::process::socket_error::{remedy, Call, Remedy};
 use crate::process::transient::is_transient;
 
--- a/front/src/lifecycle/edge.rs
+++ b/front/src/lifecycle/edge.rs
@@ -2,7 +2,6 @@
 //! by itself while it is in force.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -25,6 +24,7 @@
 use crate::fleet::site_failover::SiteFailover;
 use crate::lifecycle::apply_error::ApplyError;
 use crate::lifecycle::cookie_secrets::{random, read_private, read_secrets, SecretSource};
+use crate::lifecycle::listen_address::Listens;
 use crate::lifecycle::peer_sockets::PeerSockets;
 use crate::memory::counters::Counters;
 use crate::memory::ledger::LIVES;
@@ -43,22 +43,6 @@
 /// A serial that could not be saved is tried again after so long.
 const SERIAL_RETRY: Ms = 1000.0;
 
-/// An address that this front serves.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Listens {
-    Dns(SocketAddr),
-    Http(SocketAddr),
-}
-
-impl fmt::Display for Listens {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Listens::Dns(at) => write!(f, "dns {at}"),
-            Listens::Http(at) => write!(f, "http {at}"),
-        }
-    }
-}
-
 enum Bound {
     Dns(DnsSockets),
     Http(std::net::TcpListener),
