Give a sender that floods the name server a queue of its own

Symptom: beside a flood, questions of other clients had no answer in several tries. Cause: the system keeps one queue for a UDP socket and drops what finds it full, before the program reads anything. Change: who brings a large part of what is read (Misra and Gries, windows of 256 datagrams) gets a socket bound to the same address and connected to it, which the system prefers; eight at a time for an address, read by a thread of their own, taken back when idle. Counters from the queue to the answer; drops of the system from /proc/net/udp.

--- a/core/ratelimit/src/lib.rs
+++ b/core/ratelimit/src/lib.rs
@@ -7,6 +7,8 @@
 
 #![expect(missing_docs, reason = "not documented in full yet: see docs/ROADMAP.md")]
 
+pub mod heavy_senders;
+
 /// Milliseconds of any clock that does not go back.
 pub type Ms = f64;
 
--- a/front/src/edge/in_force.rs
+++ b/front/src/edge/in_force.rs
@@ -98,11 +98,15 @@
     }
 }
 
-pub struct InForce(ArcSwap<State>);
+/// The state in force.
+pub struct InForce(Arc<ArcSwap<State>>);
+
+/// A thread's own view of the state in force, for one that reads very often.
+pub type Reader = arc_swap::Cache<Arc<ArcSwap<State>>, Arc<State>>;
 
 impl Default for InForce {
     fn default() -> InForce {
-        InForce(ArcSwap::from_pointee(State::default()))
+        InForce(Arc::new(ArcSwap::from_pointee(State::default())))
     }
 }
 
@@ -115,9 +119,9 @@
         self.0.store(Arc::new(state));
     }
 
-    /// For a thread that reads very often.
-    pub fn reader(&self) -> arc_swap::Cache<&ArcSwap<State>, Arc<State>> {
-        arc_swap::Cache::new(&self.0)
+    /// A view for one thread.
+    pub fn reader(&self) -> Reader {
+        arc_swap::Cache::new(self.0.clone())
     }
 }
 
--- a/front/src/lifecycle/second_front.rs
+++ b/front/src/lifecycle/second_front.rs
@@ -71,8 +71,14 @@
         let names =
             resolver::Client::new(config.names.clone(), inputs.clone(), in_force.clone(), random_secret());
         names.start().map_err(|e| format!("resolver thread: {e}"))?;
-        let shared = dns::Shared { counts: Arc::default(), log: Log::default(), seed: random_secret() };
+        let shared = dns::Shared {
+            counts: Arc::default(),
+            datagrams: Arc::default(),
+            log: Log::default(),
+            seed: random_secret(),
+        };
         let _ = counters.dns.set(shared.counts.clone());
+        let _ = counters.dns_datagrams.set(shared.datagrams.clone());
         let ledger = Arc::new(Ledger::new([(); 4].map(|()| random_secret()), longest.clone()));
         let handover = Handover::from_env(&config.name, Run(random_secret()));
         let site = Site {
--- a/front/src/memory/counters.rs
+++ b/front/src/memory/counters.rs
@@ -8,6 +8,7 @@
 
 use crate::memory::figures::Figures;
 use crate::memory::mode::Mode;
+use crate::process::datagram_counters::DatagramCounters;
 
 const OUTCOMES: [&str; 9] =
     ["ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot", "miss"];
@@ -45,6 +46,8 @@
     pub figures: Arc<Figures>,
     /// Counts of the name server, where there is one.
     pub dns: OnceLock<Arc<elmtide_dns::answer::Counts>>,
+    /// What becomes of the name server's datagrams.
+    pub dns_datagrams: OnceLock<Arc<DatagramCounters>>,
     unwritten: AtomicU64,
     pub sent: AtomicU64,
     pub client_connections: AtomicU64,
@@ -118,6 +121,9 @@
         for (name, value) in of_drains {
             write!(f, " {name}={}", value.load(Relaxed))?;
         }
+        for (name, value) in self.dns_datagrams.get().into_iter().flat_map(|datagrams| datagrams.named()) {
+            write!(f, " dns_datagrams_{name}={value}")?;
+        }
         Ok(())
     }
 }
--- a/front/src/process/mod.rs
+++ b/front/src/process/mod.rs
@@ -3,9 +3,12 @@
 pub mod accept;
 pub mod backoff;
 pub mod clock;
+pub mod datagram_counters;
+pub mod datagram_listener;
 pub mod durable_file;
 pub mod log;
 pub mod socket_error;
+pub mod system_drops;
 pub mod transient;
 
 use std::hash::{DefaultHasher, Hash, Hasher};
--- /dev/null
+++ b/front/src/server/dns/datagrams.rs
@@ -0,0 +1,147 @@
+//! The name server over UDP: threads for the socket that all senders share, and one for the queues of isolated senders.
+
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, UdpSocket};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::Arc;
+
+use elmtide::Ms;
+use elmtide_dns::answer::{Client, Reaction, Server, Transport};
+
+use super::{Shared, STOP_CHECK_INTERVAL};
+use crate::edge::in_force::{InForce, Reader};
+use crate::process::datagram_listener::{DatagramListener, IsolatedSenders, Isolation, ReleaseTimer};
+use crate::process::system_drops::SystemDrops;
+use crate::process::{clock, spawn};
+
+/// Longer than any query.
+const QUERY_BYTES: usize = 4096;
+const ANSWER_BYTES: usize = 4096;
+
+/// Serves one address with so many threads for the shared socket.
+pub(super) fn start(
+    listener: DatagramListener,
+    threads: usize,
+    in_force: &Arc<InForce>,
+    shared: &Arc<Shared>,
+    stop: &Arc<AtomicBool>,
+) -> io::Result<()> {
+    let DatagramListener { shared: socket, isolated } = listener;
+    socket.set_read_timeout(Some(STOP_CHECK_INTERVAL))?;
+    for _ in 0..threads {
+        let responder = Responder::new(in_force, shared);
+        let isolation = Isolation::new(isolated.clone());
+        let (socket, stop) = (socket.try_clone()?, stop.clone());
+        spawn("dns-udp", move || serve_shared(&socket, responder, isolation, &stop))?;
+    }
+    let responder = Responder::new(in_force, shared);
+    let drops =
+        Drops { of_shared: SystemDrops::of([&socket]), of_isolated: SystemDrops::of(isolated.sockets()) };
+    let stop = stop.clone();
+    spawn("dns-isolated", move || serve_isolated(&isolated, responder, drops, &stop)).map(drop)
+}
+
+fn serve_shared(socket: &UdpSocket, mut responder: Responder, mut isolation: Isolation, stop: &AtomicBool) {
+    let mut bytes = [0; QUERY_BYTES];
+    while !stop.load(Relaxed) {
+        let (length, from) = match socket.recv_from(&mut bytes) {
+            Ok(received) => received,
+            // A time-out is the moment to look at `stop`; any other error is one client's, or a shortage that passes.
+            Err(error) => {
+                responder.count_failed_receive(&error);
+                continue;
+            }
+        };
+        let now = clock::steady_ms();
+        let counters = &responder.shared.datagrams;
+        counters.received.fetch_add(1, Relaxed);
+        let isolated = isolation.observe(from, now);
+        if isolated > 0 {
+            counters.isolations.fetch_add(isolated as u64, Relaxed);
+            responder.shared.log.say(|| format!("dns: {from} floods: it has a queue of its own now"));
+        }
+        responder.respond(socket, &bytes[..length], from, now);
+    }
+}
+
+/// Drops of the system at the sockets of one address.
+struct Drops {
+    of_shared: SystemDrops,
+    of_isolated: SystemDrops,
+}
+
+fn serve_isolated(senders: &IsolatedSenders, mut responder: Responder, mut drops: Drops, stop: &AtomicBool) {
+    let mut bytes = [0; QUERY_BYTES];
+    let mut timer = ReleaseTimer::default();
+    while !stop.load(Relaxed) {
+        senders.wait(STOP_CHECK_INTERVAL);
+        let now = clock::steady_ms();
+        senders.receive(&mut bytes, |socket, query, from| {
+            responder.shared.datagrams.isolated_received.fetch_add(1, Relaxed);
+            responder.respond(socket, query, from, now);
+        });
+        if timer.turn(senders, now) {
+            responder.report_drops(&mut drops);
+        }
+    }
+}
+
+/// Answers queries, with limits of its own thread.
+struct Responder {
+    reader: Reader,
+    server: Server,
+    shared: Arc<Shared>,
+    answer: Vec<u8>,
+}
+
+impl Responder {
+    fn new(in_force: &Arc<InForce>, shared: &Arc<Shared>) -> Responder {
+        let mut reader = in_force.reader();
+        let server = shared.server(reader.load().limits);
+        Responder { reader, server, shared: shared.clone(), answer: Vec::with_capacity(ANSWER_BYTES) }
+    }
+
+    fn respond(&mut self, socket: &UdpSocket, query: &[u8], from: SocketAddr, now: Ms) {
+        let state = self.reader.load();
+        let Some(served) = &state.served else { return };
+        if *self.server.limits() != state.limits {
+            self.server = self.shared.server(state.limits);
+        }
+        let client = Client { address: from.ip(), transport: Transport::Udp };
+        let (server, out) = (&mut self.server, &mut self.answer);
+        match catch_unwind(AssertUnwindSafe(|| server.answer(served, client, now, query, out))) {
+            Ok(Reaction::Reply) => self.send(socket, from),
+            Ok(Reaction::Silence | Reaction::Transfer(_)) => {}
+            Err(_) => self.shared.log.say(|| format!("dns: a query of {from} ended in a panic")),
+        }
+    }
+
+    fn send(&self, socket: &UdpSocket, to: SocketAddr) {
+        let counters = &self.shared.datagrams;
+        let counter = match socket.send_to(&self.answer, to) {
+            Ok(_) => &counters.sent,
+            Err(_) => &counters.send_failed,
+        };
+        counter.fetch_add(1, Relaxed);
+    }
+
+    fn count_failed_receive(&self, error: &io::Error) {
+        if !matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted) {
+            self.shared.datagrams.receive_failed.fetch_add(1, Relaxed);
+        }
+    }
+
+    /// Counts what the system has dropped since the last call, and logs it where it may have been anybody's.
+    fn report_drops(&self, drops: &mut Drops) {
+        let counters = &self.shared.datagrams;
+        counters.isolated_dropped_by_system.fetch_add(drops.of_isolated.take_new(), Relaxed);
+        let dropped = drops.of_shared.take_new();
+        counters.dropped_by_system.fetch_add(dropped, Relaxed);
+        if dropped > 0 {
+            self.shared
+                .log
+                .say(|| format!("dns: the system dropped {dropped} datagrams before they were read"));
+        }
+    }
+}
