Show that the log says things to be in force before they are, by tests that fail

Symptom: beside load, a sound request right after a reload was answered 400, and a question right after the start of the name server had no answer. Change: the fault library can hold a thread that has written a line of the log. With that, three crossings are forced: a request by new classes after 'classes are in force', a question after 'edge: dns on', a signup after 'edge: http on'.

--- a/fault-shim/src/lib.rs
+++ b/fault-shim/src/lib.rs
@@ -4,7 +4,7 @@
 //! Test only, and the one crate of the workspace with `unsafe` code: it takes the place of functions of the C library. Each calls
 //! the kernel by itself, so none of them needs the function that it replaces. Where no control file is named, nothing changes.
 //!
-//! The control file holds nine words of 64 bits in the machine's byte order; see [`Control`].
+//! The control file holds ten words of 64 bits in the machine's byte order; see [`Control`].
 
 use std::ffi::{c_int, c_void, CStr};
 use std::sync::atomic::{AtomicI64, AtomicPtr, AtomicU64, Ordering::Relaxed};
@@ -37,6 +37,8 @@
     pub injected_failures: AtomicU64,
     /// Drives which calls fail.
     pub random_state: AtomicU64,
+    /// A thread that has written the end of a line to standard error stands still for so many milliseconds.
+    pub log_line_pause_ms: AtomicU64,
 }
 
 /// The control file, mapped; null until it has been looked for, and [`ABSENT`] where there is none.
@@ -238,10 +240,29 @@
 
 const DISK_ERRORS: [c_int; 2] = [libc::ENOSPC, libc::EIO];
 
+/// Stands still if this write ended a line of standard error.
+unsafe fn pause_after_log_line(file: c_int, buffer: *const c_void, length: usize) {
+    let Some(control) = control() else { return };
+    let pause_ms = control.log_line_pause_ms.load(Relaxed);
+    if pause_ms == 0 || file != libc::STDERR_FILENO || length == 0 {
+        return;
+    }
+    // SAFETY: the caller gave a buffer of `length` bytes.
+    if *buffer.cast::<u8>().add(length - 1) == b'\n' {
+        std::thread::sleep(std::time::Duration::from_millis(pause_ms));
+    }
+}
+
 /// # Safety
 /// As `write` of the C library. Only regular files fail.
 #[no_mangle]
 pub unsafe extern "C" fn write(file: c_int, buffer: *const c_void, length: usize) -> isize {
+    let written = write_or_fail(file, buffer, length);
+    pause_after_log_line(file, buffer, length);
+    written
+}
+
+unsafe fn write_or_fail(file: c_int, buffer: *const c_void, length: usize) -> isize {
     let injects = control().is_some_and(|c| c.disk_failure_rate.load(Relaxed) > 0) && is_regular(file);
     let error = injects.then(|| drawn_error(|c| &c.disk_failure_rate, &DISK_ERRORS)).flatten();
     match error {
--- a/front/tests/process_faults.rs
+++ b/front/tests/process_faults.rs
@@ -11,6 +11,7 @@
 use elmtide_standins::faults::{FailingCalls, Faults};
 use elmtide_standins::front::cpu_seconds;
 use elmtide_standins::node::{Behaviour, Node, Origin};
+use elmtide_standins::shopper::{self, Http};
 use elmtide_standins::until;
 use elmtide_standins::web_server::{RequestEnd, WebServerConnection, Workload};
 use rstest::rstest;
@@ -372,3 +373,87 @@
     program.signal("TERM");
     program.log.wait("ledger: left to the next process", 0);
 }
+
+/// What the log says to be in force is in force: the thread that says so loses its processor right after the line, and a request
+/// by the new classes is taken all the same.
+///
+/// It was answered 400, which a client does not repeat. The engine said `classes are in force`, and only then gave the classes to
+/// those who take requests in; until then a request was checked by the classes of before, whose deadline its time was too long for
+/// (`a_request_at_a_node_that_hangs_is_sent_to_no_other`: 400 after 0.25 ms, the next request on the same connection taken).
+#[test]
+fn classes_are_in_force_when_the_log_says_so() {
+    let scene = Scene::start(1);
+    scene.program.spoil("\"HardLimitMs\":900", "\"HardLimitMs\":3000");
+    scene.faults.set_log_line_pause(Duration::from_millis(500)).unwrap();
+    scene.program.signal("HUP");
+    scene.program.log.wait("classes are in force", 0);
+    let connection = scene.connect(1);
+    connection.send("small-files", 2900, b"").unwrap();
+    assert!(until(|| connection.open_requests() == 0));
+    let end = connection.record().requests[0].end.unwrap().1;
+    assert!(matches!(end, RequestEnd::Status { status: 200, .. }), "{end:?}");
+}
+
+/// Two fronts; the other one owns about half of the keys.
+const TWO_FRONTS: &str = "zone = \"edge.test.\"\n\
+     [[front]]\nname = \"n1\"\ndns = [\"127.0.0.1:0\"]\nhttp = [\"127.0.0.1:0\"]\n\
+     [[front]]\nname = \"n2\"\nhttp = [\"127.0.0.2:9\"]\n\
+     [[name]]\nname = \"branch\"\naddresses = [\"127.0.0.1\"]\n";
+
+/// A question for `branch.edge.test.`, type A.
+const QUESTION: &[u8] = b"\0\x07\0\0\0\x01\0\0\0\0\0\0\x06branch\x04edge\x04test\0\0\x01\0\x01";
+
+/// A second front with its plan applied step by step: after each line of the log its thread stands still.
+fn apply_with_pauses(scene: &Scene) -> std::thread::JoinHandle<()> {
+    scene.program.log.wait("ledger: open", 0);
+    std::fs::write(scene.program.folder.join("edge.toml"), TWO_FRONTS).unwrap();
+    let control = ["--control", "control.sock"];
+    let plan = [&["plan", "--edge", "edge.toml", "--out", "plan.json"][..], &control].concat();
+    let (_, said) = scene.program.run(&plan);
+    scene.faults.set_log_line_pause(Duration::from_millis(500)).unwrap();
+    let folder = scene.program.folder.clone();
+    std::thread::spawn(move || {
+        let apply = ["apply", "--control", "control.sock", "plan.json"];
+        let out = common::elmtide().args(apply).current_dir(folder).output().unwrap();
+        assert!(out.status.success(), "{said}{out:?}");
+    })
+}
+
+/// The name server answers from the moment in which the log says that it is there.
+///
+/// A question in the first moment had no answer: the threads ran, and the log said so, before the zone was in force, and what they
+/// read until then they passed over in silence (`a_draining_front_leaves_the_answers_and_sends_clients_on`, beside load).
+#[test]
+fn names_are_answered_when_the_log_says_so() {
+    let scene = Scene::start_failing(1, &[], Some(""));
+    let applied = apply_with_pauses(&scene);
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.connect(scene.program.edge("dns", 0)).unwrap();
+    socket.set_read_timeout(Some(PATIENCE)).unwrap();
+    socket.send(QUESTION).unwrap();
+    let mut answer = [0; 512];
+    let length = socket.recv(&mut answer).expect("an answer");
+    assert_eq!(answer[..2], QUESTION[..2]);
+    assert!(answer[..length].ends_with(&[127, 0, 0, 1]), "{answer:?}");
+    applied.join().unwrap();
+}
+
+/// A signup whose key another front owns is sent there from the moment in which the log says that HTTP is served.
+///
+/// In the first moment this front took every key for its own, since no configuration was in force yet: where its client asked the
+/// owner next, the signup could run twice.
+#[test]
+fn keys_of_others_are_left_alone_when_the_log_says_so() {
+    let scene = Scene::start_failing(1, &[], Some(""));
+    let applied = apply_with_pauses(&scene);
+    let at = scene.program.edge("http", 0);
+    let mut statuses = Vec::new();
+    for key in 0..8 {
+        let mut http = Http::connect(at, PATIENCE).unwrap();
+        http.send(&shopper::signup(&format!("key-{key}"))).unwrap();
+        statuses.push(http.reply().unwrap().status);
+    }
+    assert!(statuses.contains(&200) && statuses.contains(&421), "{statuses:?}");
+    assert!(statuses.iter().all(|status| matches!(status, 200 | 421)), "{statuses:?}");
+    applied.join().unwrap();
+}
--- a/standins/src/faults.rs
+++ b/standins/src/faults.rs
@@ -11,7 +11,7 @@
 pub const CONTROL_VARIABLE: &str = "ELMTIDE_FAULT_CONTROL";
 const PRELOAD_VARIABLE: &str = "LD_PRELOAD";
 const LIBRARY: &str = "libelmtide_fault_shim.so";
-const WORDS: u64 = 9;
+const WORDS: u64 = 10;
 const WORD_BYTES: u64 = 8;
 
 /// What can be made to fail, and the place of its rate in the control file.
@@ -34,6 +34,7 @@
 const WALL_CLOCK_OFFSET_WORD: u64 = 0;
 const INJECTED_FAILURES_WORD: u64 = 7;
 const RANDOM_STATE_WORD: u64 = 8;
+const LOG_LINE_PAUSE_WORD: u64 = 9;
 
 /// The faults of one process.
 #[derive(Debug)]
@@ -76,6 +77,14 @@
         self.set_word(WALL_CLOCK_OFFSET_WORD, milliseconds.cast_unsigned())
     }
 
+    /// A thread of the process that has written a line to its log gets no processor time for so long.
+    ///
+    /// # Errors
+    /// If the control file can't be written.
+    pub fn set_log_line_pause(&self, pause: std::time::Duration) -> io::Result<()> {
+        self.set_word(LOG_LINE_PAUSE_WORD, pause.as_millis() as u64)
+    }
+
     /// So many calls of a thousand fail from now on.
     ///
     /// # Errors
