Put classes, zone and key owners in force before the log says so and before serving

Symptom: a sound request right after a reload was answered 400, which a client does not repeat; a question right after 'edge: dns on' had no answer; in the same moment a front took every key of a signup for its own. Cause: the reload said 'classes are in force' and then gave them to those who take requests in. The second front's threads ran, and said so, before the configuration was in force; what they read until then they passed over, or decided without knowing other fronts. Change: classes are handed over first, then the log says so. Listeners' threads wait at a gate until the next state is in force, so that what comes before lies in the socket; then the gate opens and the log says where they listen. The cells' line comes after their lists too. Same order elsewhere by reading: pause, resume, ready, ledger, drain were right.

--- a/front/src/engine/reconfigure.rs
+++ b/front/src/engine/reconfigure.rs
@@ -94,8 +94,8 @@
             }
         };
         let fresh = relaid.and_then(|()| self.cells.as_mut().map_or(Ok(Vec::new()), |c| c.place_routers()));
-        match fresh {
-            Err(why) => eprintln!("cells: {why}"),
+        let told = match fresh {
+            Err(why) => format!("cells: {why}"),
             Ok(fresh) => {
                 for cells::Fresh { router: place, cell, sharing } in fresh {
                     let Some(cells) = &self.cells else { break };
@@ -106,10 +106,11 @@
                     debug_assert_eq!(place, self.routers.len());
                     self.routers.push(router);
                 }
-                eprintln!("{told}");
+                told
             }
-        }
+        };
         self.update_cell_endpoints();
+        eprintln!("{told}");
     }
 
     /// Takes a tenant's move between cells back.
--- a/front/src/lifecycle/edge.rs
+++ b/front/src/lifecycle/edge.rs
@@ -30,6 +30,7 @@
 use crate::memory::ledger::LIVES;
 use crate::memory::longest::Longest;
 use crate::memory::mode::State as ProcessState;
+use crate::process::start_gate::StartGate;
 use crate::process::{clock, spawn};
 use crate::server::dns::{DnsSockets, Shared};
 use crate::server::http;
@@ -164,19 +165,16 @@
             let sockets = got.map_err(|error| ApplyError::Address { listens: *listens, error })?;
             bound.push((*listens, sockets));
         }
-        let mut started = Vec::new();
-        for (listens, sockets) in bound {
-            match self.start(sockets) {
-                Ok(listener) => started.push((listens, listener)),
-                Err(error) => {
-                    started.iter().for_each(|(_, listener)| listener.stop());
-                    return Err(ApplyError::Start(error));
-                }
-            }
-        }
-        listeners.extend(started);
+        // What comes before the next state is in force waits in the sockets.
+        let gate = StartGate::default();
+        let started = self.start_all(bound, &gate)?;
         self.put_in_force(&mut live, next);
         drop(live);
+        gate.open();
+        for (listens, listener) in started {
+            eprintln!("edge: {} on {}", listens.protocol(), listener.at);
+            listeners.insert(listens, listener);
+        }
         listeners.retain(|listens, listener| {
             let keep = wanted.contains(listens);
             if !keep {
@@ -331,31 +329,51 @@
             (None, SecretSource::File { .. }) => live.secret = SecretSource::own(),
             (None, SecretSource::Own { .. }) => {}
         }
-        if let Some(served) = &next.state.served {
-            eprintln!(
-                "edge: zone {} with serial {} is in force",
-                shown(&served.zone.origin),
-                served.zone.serial
-            );
-        }
+        let told = next.state.served.as_ref().map(|served| {
+            let zone = shown(&served.zone.origin);
+            format!("edge: zone {zone} with serial {} is in force", served.zone.serial)
+        });
         self.in_force.set(next.state);
+        if let Some(told) = told {
+            eprintln!("{told}");
+        }
+    }
+
+    /// Starts the threads of all these sockets, or of none. They serve once the gate is open.
+    fn start_all(
+        &self,
+        bound: Vec<(Listens, Bound)>,
+        gate: &StartGate,
+    ) -> Result<Vec<(Listens, Listener)>, ApplyError> {
+        let mut started: Vec<(Listens, Listener)> = Vec::new();
+        for (listens, sockets) in bound {
+            match self.start(sockets, gate) {
+                Ok(listener) => started.push((listens, listener)),
+                Err(error) => {
+                    started.iter().for_each(|(_, listener)| listener.stop());
+                    // Threads that wait there see that they are to end.
+                    gate.open();
+                    return Err(ApplyError::Start(error));
+                }
+            }
+        }
+        Ok(started)
     }
 
-    fn start(&self, sockets: Bound) -> std::io::Result<Listener> {
+    fn start(&self, sockets: Bound, gate: &StartGate) -> std::io::Result<Listener> {
         let stop = Arc::new(AtomicBool::new(false));
         let started = match sockets {
             Bound::Dns(sockets) => {
                 let at = sockets.at();
-                at.and_then(|at| sockets.start(&self.in_force, &self.dns, &stop).map(|()| ("dns", at)))
+                at.and_then(|at| sockets.start(&self.in_force, &self.dns, &stop, gate).map(|()| at))
             }
             Bound::Http(listener) => {
                 let at = listener.local_addr();
-                at.and_then(|at| http::start(listener, &self.site, &stop).map(|()| ("http", at)))
+                at.and_then(|at| http::start(listener, &self.site, &stop, gate).map(|()| at))
             }
         };
         // Some of the threads may run already, and would hold the address.
-        let (kind, at) = started.inspect_err(|_| stop.store(true, Relaxed))?;
-        eprintln!("edge: {kind} on {at}");
+        let at = started.inspect_err(|_| stop.store(true, Relaxed))?;
         Ok(Listener { stop, at })
     }
 
--- a/front/src/lifecycle/listen_address.rs
+++ b/front/src/lifecycle/listen_address.rs
@@ -10,11 +10,19 @@
     Http(SocketAddr),
 }
 
-impl fmt::Display for Listens {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+impl Listens {
+    /// What is spoken there.
+    pub fn protocol(self) -> &'static str {
         match self {
-            Listens::Dns(at) => write!(f, "dns {at}"),
-            Listens::Http(at) => write!(f, "http {at}"),
+            Listens::Dns(_) => "dns",
+            Listens::Http(_) => "http",
         }
     }
 }
+
+impl fmt::Display for Listens {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (Listens::Dns(at) | Listens::Http(at)) = self;
+        write!(f, "{} {at}", self.protocol())
+    }
+}
--- a/front/src/lifecycle/reload.rs
+++ b/front/src/lifecycle/reload.rs
@@ -62,9 +62,10 @@
         let intake = self.intake.clone();
         let done = move |taken: Result<Vec<Class>, String>| match taken {
             Ok(classes) => {
-                let names: Vec<&str> = classes.iter().map(|c| &*c.name).collect();
-                eprintln!("reload: {} classes are in force: {}", names.len(), names.join(", "));
+                let names: Vec<_> = classes.iter().map(|c| c.name.clone()).collect();
                 intake.retune(classes);
+                // Whoever goes by the log may send at once.
+                eprintln!("reload: {} classes are in force: {}", names.len(), names.join(", "));
             }
             Err(why) => eprintln!("reload: the classes stay as they were: {why}"),
         };
--- a/front/src/process/mod.rs
+++ b/front/src/process/mod.rs
@@ -8,6 +8,7 @@
 pub mod durable_file;
 pub mod log;
 pub mod socket_error;
+pub mod start_gate;
 pub mod system_drops;
 pub mod transient;
 
--- a/front/src/server/dns.rs
+++ b/front/src/server/dns.rs
@@ -18,6 +18,7 @@
 use crate::process::datagram_listener::DatagramListener;
 use crate::process::log::Log;
 use crate::process::spawn;
+use crate::process::start_gate::StartGate;
 
 /// So often a waiting thread looks whether it is to stop, and a connection whether its time is up.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(200);
@@ -62,16 +63,25 @@
         self.tcp.local_addr()
     }
 
+    /// Serves on threads of their own from the moment in which the gate opens; until then, what comes waits in the sockets.
+    ///
+    /// # Errors
+    /// If a thread can't be started. Those that run already end once the gate is open and `stop` is set.
     pub fn start(
         self,
         in_force: &Arc<InForce>,
         shared: &Arc<Shared>,
         stop: &Arc<AtomicBool>,
+        gate: &StartGate,
     ) -> io::Result<()> {
         let DnsSockets { udp, tcp, threads } = self;
         let streams = streams::Streams::new(tcp, in_force.clone(), shared.clone())?;
-        datagrams::start(udp, threads, in_force, shared, stop)?;
-        let stopped = stop.clone();
-        spawn("dns-tcp", move || streams.run(&stopped)).map(drop)
+        datagrams::start(udp, threads, in_force, shared, stop, gate)?;
+        let (stop, gate) = (stop.clone(), gate.clone());
+        let run = move || {
+            gate.wait();
+            streams.run(&stop);
+        };
+        spawn("dns-tcp", run).map(drop)
     }
 }
--- a/front/src/server/dns/datagrams.rs
+++ b/front/src/server/dns/datagrams.rs
@@ -12,6 +12,7 @@
 use super::{Shared, STOP_CHECK_INTERVAL};
 use crate::edge::in_force::{InForce, Reader};
 use crate::process::datagram_listener::{DatagramListener, IsolatedSenders, Isolation, ReleaseTimer};
+use crate::process::start_gate::StartGate;
 use crate::process::system_drops::SystemDrops;
 use crate::process::{clock, spawn};
 
@@ -26,20 +27,29 @@
     in_force: &Arc<InForce>,
     shared: &Arc<Shared>,
     stop: &Arc<AtomicBool>,
+    gate: &StartGate,
 ) -> io::Result<()> {
     let DatagramListener { shared: socket, isolated } = listener;
     socket.set_read_timeout(Some(STOP_CHECK_INTERVAL))?;
     for _ in 0..threads {
         let responder = Responder::new(in_force, shared);
         let isolation = Isolation::new(isolated.clone());
-        let (socket, stop) = (socket.try_clone()?, stop.clone());
-        spawn("dns-udp", move || serve_shared(&socket, responder, isolation, &stop))?;
+        let (socket, stop, gate) = (socket.try_clone()?, stop.clone(), gate.clone());
+        let run = move || {
+            gate.wait();
+            serve_shared(&socket, responder, isolation, &stop);
+        };
+        spawn("dns-udp", run)?;
     }
     let responder = Responder::new(in_force, shared);
     let drops =
         Drops { of_shared: SystemDrops::of([&socket]), of_isolated: SystemDrops::of(isolated.sockets()) };
-    let stop = stop.clone();
-    spawn("dns-isolated", move || serve_isolated(&isolated, responder, drops, &stop)).map(drop)
+    let (stop, gate) = (stop.clone(), gate.clone());
+    let run = move || {
+        gate.wait();
+        serve_isolated(&isolated, responder, drops, &stop);
+    };
+    spawn("dns-isolated", run).map(drop)
 }
 
 fn serve_shared(socket: &UdpSocket, mut responder: Responder, mut isolation: Isolation, stop: &AtomicBool) {
--- a/front/src/server/http.rs
+++ b/front/src/server/http.rs
@@ -17,6 +17,7 @@
 use crate::memory::budget::Held;
 use crate::memory::ledger::{Entered, Ledger};
 use crate::process::accept::accept_until;
+use crate::process::start_gate::StartGate;
 use crate::process::{clock, spawn};
 use crate::server::clients::{Client, Clients, NotTaken, Protocol, REQUEST};
 use crate::server::{Field, Fields, Intake, Ready};
@@ -55,9 +56,22 @@
     pub jobs: AtomicU64,
 }
 
-pub fn start(listener: TcpListener, site: &Arc<Site>, stop: &Arc<AtomicBool>) -> io::Result<()> {
-    let (site, stop) = (site.clone(), stop.clone());
-    spawn("http-accept", move || accept(&listener, &site, &stop)).map(drop)
+/// Takes connections on a thread of its own from the moment in which the gate opens.
+///
+/// # Errors
+/// If the thread can't be started.
+pub fn start(
+    listener: TcpListener,
+    site: &Arc<Site>,
+    stop: &Arc<AtomicBool>,
+    gate: &StartGate,
+) -> io::Result<()> {
+    let (site, stop, gate) = (site.clone(), stop.clone(), gate.clone());
+    let run = move || {
+        gate.wait();
+        accept(&listener, &site, &stop);
+    };
+    spawn("http-accept", run).map(drop)
 }
 
 fn accept(listener: &TcpListener, site: &Arc<Site>, stop: &Arc<AtomicBool>) {
