--- a/core/cells/tests/cells.rs
+++ b/core/cells/tests/cells.rs
@@ -268,6 +268,35 @@
     ));
 }
 
+/// A guest stays with its host as long as there is room: each second it is placed anew, and hosts are alike to it, but the copies
+/// that it needs lie with the one that it has.
+///
+/// It went to whichever cell had most room just then (`an_emptied_cell` of the front's tests: beside load, where 60 requests take
+/// over a second, the requests of one shop came to cells 0 and 2).
+#[test]
+fn a_guest_stays_with_its_host_while_there_is_room() {
+    const SHOPS: u32 = 20;
+    const INTERVAL_MS: u32 = 100;
+    let mut all = three();
+    all[1].evacuate = true;
+    let rules: Vec<ShopRule> = (0..SHOPS).map(|n| rule(&format!("guest-{n}"), 1)).collect();
+    let limits = Limits { running: (16.0, 8.0, 16.0), ..limits() };
+    let mut cells = ready(Layout::new(all, rules, limits).unwrap());
+    let mut hosts: BTreeMap<u32, BTreeSet<CellIx>> = BTreeMap::new();
+    for id in 0..SHOPS * 50 {
+        let (shop, now) = (id % SHOPS, f64::from(id / SHOPS * INTERVAL_MS));
+        cells.pass(now);
+        match cells.arrive(arrival(id, &format!("guest-{shop}"), false), now) {
+            Decision::Start { cell, .. } => hosts.entry(shop).or_default().insert(cell),
+            other => panic!("{other:?}"),
+        };
+        cells.end(id, Ended::Served, now + 1.0);
+    }
+    assert!(hosts.values().all(|cells| cells.len() == 1), "{hosts:?}");
+    let used: BTreeSet<CellIx> = hosts.values().flatten().copied().collect();
+    assert_eq!(used, BTreeSet::from([CellIx(0), CellIx(2)]), "both hosts are drawn");
+}
+
 /// Where not all guests have room, those worth least are refused, and not all of them a little.
 #[test]
 fn guests_worth_least_are_refused() {
