Keep a guest of an emptied cell at its host while that has room

Cause: once a second guests were placed anew, each into the cell with most room at that moment, wherever it was served until then. No confinement is broken (one host at a time), but the copies that it needs lie at the host before. Change: the host that a guest has comes first if it has room. A guest that waited for room is counted as one at whichever host it starts, not only at the one that the hash draws.

--- a/core/cells/src/cells.rs
+++ b/core/cells/src/cells.rs
@@ -317,11 +317,15 @@
         }
         self.guests.retain(|_, (asked, _)| *asked > 0);
         let latency = |cell: CellIx| self.states[usize::from(cell.0)].concurrency.latency().max(1.0);
-        let load = |(shop, (asked, _)): (&ShopId, &(u32, Host))| {
+        let load = |(shop, (asked, host)): (&ShopId, &(u32, Host))| {
             let rate = f64::from(*asked) / seconds;
+            let host = match host {
+                Host::Placed(cell) => *cell,
+                Host::Drawn | Host::NoRoom => self.layout.host_of(*shop).0,
+            };
             // By Little's law, what it keeps running.
-            let running = rate * latency(self.layout.host_of(*shop).0) / 1000.0;
-            Load { shop: *shop, running, worth: rate * self.layout.worth_of(*shop) }
+            let running = rate * latency(host) / 1000.0;
+            Load { shop: *shop, running, worth: rate * self.layout.worth_of(*shop), host }
         };
         let loads: Vec<Load> = self.guests.iter().map(load).collect();
         let hosts = self
@@ -439,7 +443,7 @@
                 continue;
             }
             let cell = CellIx(place as u16);
-            let guest = self.layout.host_of(next.shop) == (cell, true);
+            let guest = self.layout.host_of(next.shop).1 && cell != self.layout.cell_of(next.shop);
             self.start(next.id, next.shop, cell, next.once, guest);
             self.out.push(Decision::Start { id: next.id, cell });
         }
