Show that a clock step between two starts has a signup run twice, by a test that fails

Symptom: named in docs/design/time.md as open by reading: the ledger that is handed to the next process carries a moment of the old one's time line. Change: an upgrade with the wall clock stepped between the two starts, by 17.5 s (a little under the 18 s that results are kept) and by an hour, forward and back. It fails on this commit. Measured: 17.5 s forward, the signup ran twice; in the other three cases the seal was not used ('Dated') and signups were refused until the longest deadline had passed.

--- a/front/tests/upgrade.rs
+++ b/front/tests/upgrade.rs
@@ -10,7 +10,8 @@
 use std::time::{Duration, Instant};
 
 use elmtide_standins::bus::{listed, Bus};
-use elmtide_standins::front::{Front, Handed, Setup};
+use elmtide_standins::faults::Faults;
+use elmtide_standins::front::{Folder, Front, Handed, Setup, SETTINGS};
 use elmtide_standins::node::{runs, Behaviour, Node, Origin};
 use elmtide_standins::ports::free_port;
 use elmtide_standins::shopper::{signup, Http};
@@ -65,6 +66,10 @@
     }
 
     fn start(&self) -> Front {
+        self.start_in(Folder::new().unwrap())
+    }
+
+    fn start_in(&self, folder: Folder) -> Front {
         let setup = Setup {
             binary: Path::new(env!("CARGO_BIN_EXE_elmtide")),
             name: "n1",
@@ -74,7 +79,7 @@
             cells: "",
             sockets: 1024,
         };
-        Front::start_on(&setup, Some(&self.handed)).unwrap()
+        Front::start_in(folder, &setup, Some(&self.handed)).unwrap()
     }
 
     fn asked(&self, body: &str) -> usize {
@@ -188,3 +193,43 @@
     assert_eq!(scene.shopper("last", DEADLINE).join().unwrap(), Some(200));
     assert_eq!(scene.asked("last"), 1);
 }
+
+const HOUR_MS: i64 = 3_600_000;
+/// Results are kept for six of the longest deadlines, far longer than the test takes.
+const LONG_DEADLINE_MS: i64 = 3000;
+/// A little less than that.
+const MOST_OF_A_LIFE_MS: i64 = 17_500;
+
+/// The wall clock is stepped between the starts of the two processes: what the old one ran is taken over, and repeated.
+///
+/// Each process counts its time from the Unix time of its own start, and the seal carried a moment of the old one's count. A step
+/// forward made what had been sealed look old: the results were forgotten at once, and the same key ran again. After a step back, or
+/// one by an hour, the seal was not used at all, and every signup was refused for the longest deadline.
+#[rstest]
+#[case::forward(MOST_OF_A_LIFE_MS)]
+#[case::back(-MOST_OF_A_LIFE_MS)]
+#[case::an_hour_forward(HOUR_MS)]
+#[case::an_hour_back(-HOUR_MS)]
+fn signups_outlast_an_upgrade_over_a_stepped_clock(#[case] step_ms: i64) {
+    let control = Folder::new().unwrap();
+    let faults = Faults::new(&control.0, 1).unwrap();
+    let mut scene = Scene::new();
+    scene.handed.environment = faults.environment().into();
+    let start = |scene: &Scene| {
+        let folder = Folder::new().unwrap();
+        let settings =
+            SETTINGS.replace("\"HardLimitMs\":900", &format!("\"HardLimitMs\":{LONG_DEADLINE_MS}"));
+        std::fs::write(folder.0.join("settings.json"), settings).unwrap();
+        scene.start_in(folder)
+    };
+    let mut old = start(&scene);
+    old.log.wait("ledger: open", 0).unwrap();
+    assert_eq!(scene.shopper("done", DEADLINE).join().unwrap(), Some(200));
+    faults.set_wall_clock_offset(step_ms).unwrap();
+    let new = start(&scene);
+    old.signal("TERM").unwrap();
+    assert!(until(|| old.has_ended()));
+    new.log.wait("ledger: taken over from the process before: 1 keys", 0).unwrap();
+    assert_eq!(scene.shopper("done", DEADLINE).join().unwrap(), Some(200));
+    assert_eq!(scene.asked("done"), 1);
+}
--- a/standins/src/front.rs
+++ b/standins/src/front.rs
@@ -14,7 +14,7 @@
 use crate::PATIENCE;
 
 /// Settings with one cache location; the longest deadline is short, so that the ledger opens soon.
-const SETTINGS: &str = r#"{"Az":1,"GroupSize":1,"Zones":["east","edge-1"],"Kinds":["small","parent","origin"],
+pub const SETTINGS: &str = r#"{"Az":1,"GroupSize":1,"Zones":["east","edge-1"],"Kinds":["small","parent","origin"],
 "Weights":"rough","FamilyInfo":{"ShieldKind":1,"SourceKind":2,"NeverKept":[false,true],"ClientKbPerS":7800.0,
 "CountByZone":[0,1]},"Limits":{"TryLimit":8,"Cancelling":true,"Probes":true,"SecondCopies":true,"RetryAfter":true,
 "MaxRetryAfterMs":500.0},"RequestClasses":[{"Name":"small-files","OnTimeMs":400,"HardLimitMs":900,"Repeat":"free"},
@@ -106,11 +106,14 @@
 pub struct Handed {
     pub listener: TcpListener,
     pub folder: Folder,
+    /// Variables of the environment that each process is started with.
+    pub environment: Vec<(&'static str, String)>,
 }
 
 impl Handed {
     pub fn new() -> std::io::Result<Handed> {
-        Ok(Handed { listener: TcpListener::bind("127.0.0.1:0")?, folder: Folder::new()? })
+        let (listener, folder) = (TcpListener::bind("127.0.0.1:0")?, Folder::new()?);
+        Ok(Handed { listener, folder, environment: Vec::new() })
     }
 }
 
@@ -123,6 +126,7 @@
         .arg(binary)
         .stdin(Stdio::from(OwnedFd::from(handed.listener.try_clone()?)))
         .env("LB_FD", "3")
+        .envs(handed.environment.iter().map(|(name, value)| (name, value)))
         .env("TMPDIR", &handed.folder.0);
     Ok(command)
 }
