Tell the next process how old its signups are by the clock that both share

Symptom: an upgrade over a wall clock that was stepped between the two starts had a signup run twice, or refused all of them for the longest deadline. Cause: each process counts from the Unix time of its own start; the seal carried a moment of the old one's count, which the new one compared with its own. Change: the seal also carries CLOCK_BOOTTIME and the boot's identity; the next process takes its age from there and puts it on its own line. Seals of the version before are read as before; a version before this one does not read the new seal and waits as if there were none. After a start of the machine the two lines are taken for one, as before.

--- a/front/src/lifecycle/handover.rs
+++ b/front/src/lifecycle/handover.rs
@@ -12,9 +12,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use elmtide::Ms;
 use serde::{Deserialize, Serialize};
 
 use crate::memory::ledger::{Ledger, Sealed};
+use crate::process::clock::BootMoment;
 use crate::process::{clock, durable_file};
 
 /// The first bytes of the file: what it is and its version.
@@ -30,10 +32,34 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Run(pub u64);
 
+/// What the file says. Versions of the program before this one write and read the first two.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 enum Word {
     Open(Run),
+    /// The moment of the seal is on the time line of whoever sealed it.
     Sealed(Run, Sealed),
+    /// With the moment of the seal by the clock that both processes share.
+    SealedAt(Run, Sealed, BootMoment),
+}
+
+impl Word {
+    fn sealed(run: Run, sealed: Sealed, sealed_at: Option<BootMoment>) -> Word {
+        match sealed_at {
+            Some(moment) => Word::SealedAt(run, sealed, moment),
+            None => Word::Sealed(run, sealed),
+        }
+    }
+}
+
+/// A seal as this process has to read it. Each process counts its time from the Unix time of its own start: where the wall clock
+/// was stepped between the two starts, only the clock that both share tells how old the seal is. After a start of the machine there
+/// is none, and the two time lines are taken for one.
+fn on_own_time_line(sealed: Sealed, sealed_at: Option<&BootMoment>, now: Ms) -> Sealed {
+    let age = sealed_at.zip(BootMoment::now()).and_then(|(at, now)| at.until(&now));
+    match age {
+        Some(age) => sealed.sealed_before(now, age),
+        None => sealed,
+    }
 }
 
 /// Why there is no word that can be used.
@@ -157,18 +183,24 @@
         let Some(_locked) = self.lock()? else { return Ok(None) };
         let found = read(&self.path);
         let open = Word::Open(self.run);
-        match found {
-            Ok(Word::Sealed(of, sealed)) => {
-                // Nobody after us may take this seal: it will not know of what we run.
-                self.put(&open)?;
-                match ledger.take_over(sealed, clock::steady_ms()) {
-                    Ok(keys) => return Ok(Some(Opened::TakenOver(keys))),
-                    Err(why) => eprintln!("ledger: what run {:x} left is not used: {why:?}", of.0),
-                }
+        let seal = match found {
+            Ok(Word::Sealed(of, sealed)) => Some((of, sealed, None)),
+            Ok(Word::SealedAt(of, sealed, at)) => Some((of, sealed, Some(at))),
+            Ok(Word::Open(_)) | Err(Unread::Absent) => None,
+            Err(ref why) if waited => {
+                eprintln!("ledger: {} is not used: {why}", self.path.display());
+                None
+            }
+            Err(_) => None,
+        };
+        if let Some((of, sealed, at)) = seal {
+            // Nobody after us may take this seal: it will not know of what we run.
+            self.put(&open)?;
+            let now = clock::steady_ms();
+            match ledger.take_over(on_own_time_line(sealed, at.as_ref(), now), now) {
+                Ok(keys) => return Ok(Some(Opened::TakenOver(keys))),
+                Err(why) => eprintln!("ledger: what run {:x} left is not used: {why:?}", of.0),
             }
-            Ok(Word::Open(_)) | Err(Unread::Absent) => {}
-            Err(ref why) if waited => eprintln!("ledger: {} is not used: {why}", self.path.display()),
-            Err(_) => {}
         }
         if !waited {
             return Ok(None);
@@ -185,6 +217,7 @@
     /// Ends the taking of signups and leaves what the ledger knows. Gives the number of bytes; `None` where another process
     /// has taken over meanwhile.
     pub fn seal(&self, ledger: &Ledger) -> io::Result<Option<usize>> {
+        let sealed_at = BootMoment::now();
         let sealed = ledger.seal(clock::steady_ms());
         let until = Instant::now() + SEAL_FOR;
         let _locked = loop {
@@ -197,7 +230,7 @@
         if !matches!(read(&self.path), Ok(Word::Open(run)) if run == self.run) {
             return Ok(None);
         }
-        let word = Word::Sealed(self.run, sealed);
+        let word = Word::sealed(self.run, sealed, sealed_at);
         self.put(&word)?;
         Ok(encode(&word).map(|bytes| bytes.len()))
     }
@@ -321,6 +354,19 @@
         );
     }
 
+    /// A version before this one left no moment of the clock that all processes share.
+    #[test]
+    fn a_seal_of_the_version_before_is_read() {
+        let folder = Folder::new("older");
+        let (one, first) = folder.run(1);
+        opened(&one, &first, true);
+        sign_up(&first, 1);
+        one.put(&Word::Sealed(Run(1), first.seal(clock::steady_ms()))).unwrap();
+        let (two, second) = folder.run(2);
+        assert_eq!(opened(&two, &second, false), Opened::TakenOver(1));
+        assert!(repeats(&second, 1));
+    }
+
     /// The old process stalls before its seal for so long that the next one has opened without it: the seal must not
     /// be left for a third one, which would not know of what the second ran.
     #[test]
--- a/front/src/memory/ledger.rs
+++ b/front/src/memory/ledger.rs
@@ -37,12 +37,19 @@
 /// What the process after this one must know: of a ledger that takes nothing any more.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 pub struct Sealed {
-    /// Unix time of the seal.
+    /// The seal's moment on the time line of whoever sealed it.
     at: Ms,
     hash_keys: HashKeys,
     entries: Vec<SealedEntry>,
 }
 
+impl Sealed {
+    /// The same on the time line of another process, where it was sealed so long before `now`.
+    pub fn sealed_before(self, now: Ms, age: Ms) -> Sealed {
+        Sealed { at: now - age, ..self }
+    }
+}
+
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 struct SealedEntry {
     key: String,
--- a/front/src/process/clock.rs
+++ b/front/src/process/clock.rs
@@ -11,6 +11,8 @@
 
 use elmtide::Ms;
 use elmtide_budgets::Clocks;
+use rustix::time::{clock_gettime, ClockId};
+use serde::{Deserialize, Serialize};
 
 /// Milliseconds on the time line of this process: the Unix time of its start, and the monotonic clock since then.
 pub fn steady_ms() -> Ms {
@@ -51,6 +53,33 @@
     FIRST_UPTIME + origin().0.elapsed()
 }
 
+/// A moment by the clock that all processes of a machine share from its start on, and that no step of the wall clock moves. It
+/// counts on while the machine sleeps (`CLOCK_BOOTTIME`).
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BootMoment {
+    /// Names this start of the machine.
+    boot: String,
+    since_boot_ms: Ms,
+}
+
+/// Where Linux names the start of the machine.
+const BOOT_ID: &str = "/proc/sys/kernel/random/boot_id";
+
+impl BootMoment {
+    /// This moment; `None` where the system does not name its start.
+    pub fn now() -> Option<BootMoment> {
+        let boot = std::fs::read_to_string(BOOT_ID).ok()?.trim().to_owned();
+        let since_boot = clock_gettime(ClockId::Boottime);
+        let since_boot_ms = since_boot.tv_sec as f64 * 1000.0 + since_boot.tv_nsec as f64 / 1_000_000.0;
+        (!boot.is_empty()).then_some(BootMoment { boot, since_boot_ms })
+    }
+
+    /// Milliseconds from this moment to a later one; `None` if the machine has been started anew in between.
+    pub fn until(&self, later: &BootMoment) -> Option<Ms> {
+        (self.boot == later.boot).then(|| later.since_boot_ms - self.since_boot_ms)
+    }
+}
+
 /// Both clocks at one moment. The steady one counts from the first time that it is asked for, and from well above naught.
 pub fn both() -> Clocks {
     let (origin, _) = origin();
--- a/front/src/process/clock/tests.rs
+++ b/front/src/process/clock/tests.rs
@@ -23,3 +23,13 @@
     assert_eq!(youngest_age(stamp - HOUR, NOW, NOW - HOUR), 500.0);
     assert_eq!(youngest_age(NOW + 5.0, NOW, NOW), 0.0, "from the future");
 }
+
+#[test]
+fn moments_of_one_start_of_the_machine_can_be_compared() {
+    let moment = |boot: &str, since_boot_ms| BootMoment { boot: boot.into(), since_boot_ms };
+    assert_eq!(moment("one", 5.0).until(&moment("one", 12.5)), Some(7.5));
+    assert_eq!(moment("one", 12.5).until(&moment("one", 5.0)), Some(-7.5), "of a clock that is none");
+    assert_eq!(moment("one", 5.0).until(&moment("other", 12.5)), None);
+    let (before, after) = (BootMoment::now().unwrap(), BootMoment::now().unwrap());
+    assert!((0.0..60_000.0).contains(&before.until(&after).unwrap()));
+}
