Forget the strain of a cell that gets few requests, so that a move to it goes on

Symptom: a move of a shop had not ended in 20 s, beside load. Cause: a cell is strained while its mean latency is above what is borne, and the mean changed with requests only. After a burst, a cell that got few kept the mean of the burst; two spans of strain take half of a moving share back, so that even fewer came. Shown by a trace of a move beside load: a share of a sixteenth, mean 19.7 ms over a rest of 7.4, nothing back for 0.2 to 0.6 s at a time, nothing running or waiting. Ruled out: signups that hold the last step (none of the traced moves stood there). Change: what the mean has above the latency at rest halves in 0.5 s without requests. A cell that is overloaded shows it anew with each.

--- a/core/cells/src/cells.rs
+++ b/core/cells/src/cells.rs
@@ -471,7 +471,7 @@
             let others = self.moves.iter().enumerate().filter(|(other, _)| *other != place);
             let facts = Facts {
                 target_ready: target.ready_boxes > 0,
-                target_strained: target.concurrency.strained() || !target.queue.is_empty(),
+                target_strained: target.concurrency.strained(self.now) || !target.queue.is_empty(),
                 target_taken: others.clone().any(|(_, o)| o.to == m.to && o.warms()),
                 once_in_old: (self.running.values())
                     .filter(|r| r.once && r.shop == m.shop && r.cell == m.from)
--- a/core/cells/src/concurrency.rs
+++ b/core/cells/src/concurrency.rs
@@ -8,6 +8,9 @@
 const FORGET: f64 = 0.02;
 /// Weight of one latency in the mean.
 const GAIN: f64 = 0.1;
+/// What the mean has above the latency at rest halves in this time. A cell that is overloaded shows it anew with each request;
+/// one that gets few must not be judged by what was long ago.
+const EXCESS_HALF_LIFE: Ms = 500.0;
 
 #[derive(Clone, Debug)]
 pub struct Concurrency {
@@ -38,8 +41,15 @@
     }
 
     /// Whether latency of late is above what is borne.
-    pub fn strained(&self) -> bool {
-        self.rest.is_some_and(|rest| self.mean > rest * self.tolerance)
+    pub fn strained(&self, now: Ms) -> bool {
+        self.rest.is_some_and(|rest| self.faded_mean(rest, now) > rest * self.tolerance)
+    }
+
+    /// The mean latency, with what it has above the latency at rest faded since the last request.
+    fn faded_mean(&self, rest: Ms, now: Ms) -> Ms {
+        let excess = (self.mean - rest).max(0.0);
+        let half_lives = (now - self.seen).max(0.0) / EXCESS_HALF_LIFE;
+        self.mean.min(rest + excess * 0.5f64.powf(half_lives))
     }
 
     /// A request has come back: how long it took, how many ran then, and whether it was lost (timed out, turned away).
@@ -48,11 +58,15 @@
             return;
         }
         let passed = (now - self.seen).clamp(0.0, 60_000.0) / 1000.0;
-        self.seen = self.seen.max(now);
+        let mean = self.rest.map_or(latency, |rest| {
+            let faded = self.faded_mean(rest, now);
+            faded + (latency - faded) * GAIN
+        });
         let rest = self.rest.map_or(latency, |rest| (rest * (1.0 + FORGET * passed)).min(latency.max(0.1)));
-        self.mean = if self.rest.is_none() { latency } else { self.mean + (latency - self.mean) * GAIN };
+        self.seen = self.seen.max(now);
+        self.mean = mean;
         self.rest = Some(rest.max(0.1));
-        if lost || self.strained() {
+        if lost || self.strained(now) {
             if now - self.fell > self.mean.max(rest) {
                 self.limit = (self.limit * FALL).max(self.least);
                 self.fell = now;
