Divide the spendings of a span by that span in a test of a site's link budget

Symptom: fills_through_a_sites_link_are_that_sites_budget failed beside load: 10.0 and 1.9 fills a second, of 12 asked for the two together. Cause: a fault of the test. The spendings were those of 4 s; the time they were divided by was read after the clients had been stopped, and once for each rate, 4.2 to 4.7 s. In the run that failed, 12.7 a second were spent in the span. Change: the time ends with the spendings. The bound stays as it is, and is as strict: what was measured before was not the rate.

--- a/front/tests/fleet.rs
+++ b/front/tests/fleet.rs
@@ -436,14 +436,16 @@
     // Divided by what they want, which is not what they began with.
     fleet.wait_shares(&[0], "link-in", 0.6).unwrap();
     let sums = || fleet.check("link-in", whole).unwrap().by_front;
-    let before = sums();
     let since = Instant::now();
+    let before = sums();
     assert!(until(|| since.elapsed() > Duration::from_secs(4)));
     let after = sums();
+    // The time of these spendings ends here: to stop the clients takes more of it.
+    let window = since.elapsed().as_secs_f64();
     stop(loads);
     let rate = |f: usize| {
         let at = |sums: &std::collections::BTreeMap<String, f64>| sums.get(NAME[f]).copied().unwrap_or(0.0);
-        (at(&after) - at(&before)) / since.elapsed().as_secs_f64()
+        (at(&after) - at(&before)) / window
     };
     println!("{:.1}, {:.1} and {:.1} a second", rate(0), rate(1), rate(3));
     assert!(rate(1) > 12.0, "a site's only front uses its link: {}", rate(1));
