Place starts of servers on the front's own time line when clocks have been stepped

Symptom: a server that started after every machine's clock had been set back by an hour was sent its whole part at once, over slow start's budget; after a step forward it was held cold for an hour. Cause: started_ms is Unix time by the stepped clock, and was compared with the front's line, which counts from the Unix time of the front's own start. Change: where the wall clock and the line have parted, a start is placed as long ago as whichever of the two says less, once for each stamp. Without a step the stamp is taken as it is. Maintenance goes on comparing the stamps themselves, which all fronts have to name alike.

--- a/front/src/client/bus.rs
+++ b/front/src/client/bus.rs
@@ -11,6 +11,7 @@
 use crossbeam_channel::Sender;
 use elmtide::{Availability, CellId, Event, KindId, ListNews, Listing, ObjectId, PurgeGroup, ZoneId};
 
+use crate::client::start_times::StartTimes;
 use crate::exchange::{Input, ListSource, MemberNews, MembersNews};
 use crate::memory::counters::Counters;
 use crate::memory::members::member_id;
@@ -100,6 +101,7 @@
 /// Hands the events on in their order, each once.
 pub struct Feed {
     pub names: Names,
+    pub start_times: StartTimes,
     pub last: u64,
     pub inputs: Sender<Input>,
     pub counters: Arc<Counters>,
@@ -122,7 +124,11 @@
         // What has been applied already comes again where an answer was lost.
         let fresh = events.split_off(&(self.last + 1));
         for (number, event) in fresh {
-            if self.inputs.send(self.names.input(&event)).is_err() {
+            let mut input = self.names.input(&event);
+            if let Input::Listed { event, .. } = &mut input {
+                self.start_times.place(event, clock::on_steady_line);
+            }
+            if self.inputs.send(input).is_err() {
                 return Ok(false);
             }
             self.counters.bus_events.fetch_add(1, Relaxed);
--- a/front/src/client/mod.rs
+++ b/front/src/client/mod.rs
@@ -5,4 +5,5 @@
 pub mod pool;
 pub mod resolver;
 pub mod shortage;
+pub mod start_times;
 pub mod streams;
--- a/front/src/engine/maintenance_client.rs
+++ b/front/src/engine/maintenance_client.rs
@@ -28,6 +28,8 @@
     /// The machine that this front runs on, if it is one of the file's.
     own: Option<MachineId>,
     members: BTreeMap<MemberId, MachineId>,
+    /// When members started, as the lists have stamped it.
+    stamped_starts: BTreeMap<MemberId, Option<Ms>>,
     off: BTreeSet<MemberId>,
     /// Machines that this front has had in its lists: one that is in none any more is absent.
     mine: BTreeSet<MachineId>,
@@ -46,6 +48,7 @@
             viewer,
             own,
             members: BTreeMap::new(),
+            stamped_starts: BTreeMap::new(),
             off: BTreeSet::new(),
             mine: BTreeSet::new(),
             leased: false,
@@ -70,10 +73,14 @@
         for member in news.members.iter().filter(|m| !m.gone) {
             let machine = self.viewer.machine_at(&member.name, member.addr);
             self.members.insert(member.member, machine);
+            self.stamped_starts.insert(member.member, member.born);
         }
         while self.members.len() > MOST {
             self.members.pop_first();
         }
+        while self.stamped_starts.len() > MOST {
+            self.stamped_starts.pop_first();
+        }
     }
 
     /// Whether what is kept off may be out of date: the lease on the view has begun or ended since.
@@ -171,7 +178,9 @@
             let age = listing.born.zip(span.filter(|s| *s > 0.0)).map(|(born, span)| (now - born) / span);
             let sight = MachineObservation {
                 state: looks,
-                started_at_ms: listing.born.map_or(0, |ms| ms.max(0.0) as u64),
+                // As it was stamped: all fronts have to name one start alike.
+                started_at_ms: (self.stamped_starts.get(&listing.member).copied().flatten())
+                    .map_or(0, |ms| ms.max(0.0) as u64),
                 warm_percent: (age.unwrap_or(1.0).clamp(0.0, 1.0) * 100.0) as u8,
                 load: (self.load.get(&machine).copied().unwrap_or(0.0) / (FADE / 1e6)) as u32,
                 work: match self.tried.get(&machine) {
--- a/front/src/lifecycle/serve.rs
+++ b/front/src/lifecycle/serve.rs
@@ -12,6 +12,7 @@
 
 use crate::client::bus::{Feed, Whereabouts};
 use crate::client::pool::Pool;
+use crate::client::start_times::StartTimes;
 use crate::engine::Engine;
 use crate::exchange::Input;
 use crate::fleet;
@@ -62,6 +63,7 @@
     // The list of the start goes in before the first request can.
     let mut feed = Feed {
         names: config.names.clone(),
+        start_times: StartTimes::default(),
         last: 0,
         inputs: inputs.clone(),
         counters: counters.clone(),
--- a/front/src/process/clock.rs
+++ b/front/src/process/clock.rs
@@ -3,7 +3,7 @@
 //! Deadlines, windows, waits and ages are spans of real time: everything inside lives by [`steady_ms`], which runs with the
 //! monotonic clock and counts from the Unix time of the start, so that what the platform tells in Unix milliseconds can be
 //! compared with it. A step of the wall clock after the start does not move it. The wall clock itself is asked for only where a
-//! moment that somebody else has stamped is taken in ([`age_of`]), and where leases need both clocks ([`both`]). What a step does in
+//! moment that somebody else has stamped is taken in ([`age_of`], [`on_steady_line`]), and where leases need both clocks ([`both`]). What a step does in
 //! each place is in `docs/design/time.md`.
 
 use std::sync::OnceLock;
@@ -26,6 +26,22 @@
     youngest_age(stamp, steady_ms(), wall_ms())
 }
 
+/// Where the two clocks differ by more, one of them has been stepped. What a smaller step does to a span is as small.
+const STEPPED_FROM: Ms = 50.0;
+
+/// A moment that somebody else has stamped with Unix time, on the time line of this process: the stamp itself, or, where a clock
+/// has been stepped since the start, as long ago as whichever of the two clocks says less.
+pub fn on_steady_line(stamp: Ms) -> Ms {
+    place(stamp, steady_ms(), wall_ms())
+}
+
+fn place(stamp: Ms, steady: Ms, wall: Ms) -> Ms {
+    if (steady - wall).abs() < STEPPED_FROM {
+        return stamp;
+    }
+    steady - youngest_age(stamp, steady, wall)
+}
+
 fn youngest_age(stamp: Ms, steady: Ms, wall: Ms) -> Ms {
     (steady.min(wall) - stamp).max(0.0)
 }
--- a/front/src/process/clock/tests.rs
+++ b/front/src/process/clock/tests.rs
@@ -33,3 +33,16 @@
     let (before, after) = (BootMoment::now().unwrap(), BootMoment::now().unwrap());
     assert!((0.0..60_000.0).contains(&before.until(&after).unwrap()));
 }
+
+#[test]
+fn a_moment_stamped_elsewhere_is_placed_no_earlier_than_either_clock_says() {
+    let stamp = NOW - 500.0;
+    assert_eq!(place(stamp, NOW, NOW + 0.3), stamp, "no step: the stamp itself");
+    assert_eq!(place(NOW + 700.0, NOW, NOW), NOW + 700.0);
+    // All machines' clocks were set back, then something was stamped half a second ago.
+    assert_eq!(place(stamp - HOUR, NOW, NOW - HOUR), stamp);
+    // Set forward: it is not known how long ago.
+    assert_eq!(place(stamp + HOUR, NOW, NOW + HOUR), NOW);
+    assert_eq!(place(stamp, NOW, NOW - HOUR), NOW, "stamped before the clocks were set back");
+    assert_eq!(place(stamp, NOW, NOW + HOUR), stamp, "stamped before they were set forward");
+}
