Check and make signatures of messages by the wall clock, as their protocol ties them to it

Symptom: after a step by more than the fudge every signed message was refused (BADTIME), and what the front signed was refused by others, until the process was started anew. Cause: the name server took its own time line, which no step moves, for the Unix time of RFC 8945. Change: a moment of the name server has both clocks: the line for limits, waits and cookies, the wall clock for signatures of answers, transfers and notices.

--- a/dns/src/answer.rs
+++ b/dns/src/answer.rs
@@ -12,11 +12,11 @@
 use crate::edns::{ExtendedError, Said};
 use crate::query::{Header, Query, Question};
 use crate::records::Rdata;
+use crate::time::Now;
 use crate::transfer::{History, Transfer};
 use crate::tsig::{self, Keys, Signer, Unverified};
 use crate::wire::{is_within, Name, Rcode, Type, CLASS_IN, HEADER, QUESTION_POINTER};
 use crate::zone::{Found, Node, RrSet, Zone, CHAIN};
-use crate::Ms;
 
 /// The least that any transport takes, and the most that is sent over UDP whatever a client says (RFC 9715).
 const UDP: (usize, usize) = (512, 1232);
@@ -160,10 +160,11 @@
         &mut self,
         served: &Served,
         client: Client,
-        now: Ms,
+        now: impl Into<Now>,
         bytes: &[u8],
         out: &mut Vec<u8>,
     ) -> Reaction {
+        let now = now.into();
         out.clear();
         count(if client.transport == Transport::Udp { &self.counts.udp } else { &self.counts.tcp });
         let Some(header) = Header::read(bytes).filter(|h| !h.is_response) else { return Reaction::Silence };
@@ -176,7 +177,7 @@
         };
         let mut signer = None;
         if let Some(at) = query.tsig {
-            match tsig::verify(&served.keys, bytes, at, (now / 1000.0) as u64) {
+            match tsig::verify(&served.keys, bytes, at, now.unix_s) {
                 Ok(verified) => signer = Some(verified),
                 Err(Unverified::Malformed) => return self.short(client, now, &header, Rcode::FORMERR, out),
                 Err(Unverified::Error { reply, .. }) => {
@@ -184,7 +185,7 @@
                     let reaction = self.short(client, now, &header, Rcode::NOTAUTH, out);
                     if matches!(reaction, Reaction::Reply) {
                         bring_question(out, bytes, query.question.as_ref());
-                        reply.sign(out, (now / 1000.0) as u64);
+                        reply.sign(out, now.unix_s);
                     }
                     return reaction;
                 }
@@ -204,7 +205,7 @@
     fn short(
         &mut self,
         client: Client,
-        now: Ms,
+        now: Now,
         header: &Header,
         rcode: Rcode,
         out: &mut Vec<u8>,
@@ -235,7 +236,7 @@
     }
 
     /// The last word on an answer over UDP to a client that has not proven its address.
-    fn judge(&mut self, client: Client, now: Ms, ending: Ending) -> Verdict {
+    fn judge(&mut self, client: Client, now: Now, ending: Ending) -> Verdict {
         if client.transport == Transport::Tcp {
             return Verdict::Send;
         }
@@ -250,7 +251,7 @@
             IpAddr::V4(v4) => u64::from(v4.to_bits() >> 8),
             IpAddr::V6(v6) => (v6.to_bits() >> 72) as u64 | 1 << 63,
         };
-        let verdict = self.limiter.judge(net, kind, u64::from(what), now);
+        let verdict = self.limiter.judge(net, kind, u64::from(what), now.steady);
         match verdict {
             Verdict::Send => {}
             Verdict::Slip => count(&self.counts.limited_slipped),
@@ -264,7 +265,7 @@
         &mut self,
         served: &Served,
         client: Client,
-        now: Ms,
+        now: Now,
         bytes: &[u8],
         header: &Header,
         query: &Query<'_>,
@@ -277,7 +278,7 @@
         if let Some(edns) = &query.edns {
             said.dnssec_ok = edns.dnssec_ok;
             if let Some(option) = edns.cookie {
-                let now_s = (now / 1000.0) as u64 as u32;
+                let now_s = (now.steady / 1000.0) as u64 as u32;
                 let (standing, cookie) =
                     served.secrets.judge(option.client, option.server, client.address, now_s);
                 said.cookie = Some(cookie);
@@ -376,7 +377,7 @@
             said.write(out, (rcode.0 >> 4) as u8, behind, most);
         }
         if let Some(signer) = &mut signer {
-            signer.sign(out, (now / 1000.0) as u64);
+            signer.sign(out, now.unix_s);
         }
         Reaction::Reply
     }
@@ -387,7 +388,7 @@
         &mut self,
         served: &Served,
         client: Client,
-        now: Ms,
+        now: Now,
         bytes: &[u8],
         header: &Header,
         query: &Query<'_>,
@@ -416,7 +417,7 @@
             };
             bring_question(out, bytes, Some(question));
             if let Some(mut signer) = signer {
-                signer.sign(out, (now / 1000.0) as u64);
+                signer.sign(out, now.unix_s);
             }
             return Reaction::Reply;
         }
@@ -428,7 +429,7 @@
             (Some(_), Transport::Udp) => {
                 let mut newest =
                     Transfer::changes(header.id, asked, zone, &served.history, zone.serial, signer);
-                newest.next(out, (now / 1000.0) as u64);
+                newest.next(out, now.unix_s);
                 Reaction::Reply
             }
             (Some(have), Transport::Tcp) => {
--- a/dns/src/lib.rs
+++ b/dns/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod records;
 pub mod stub;
 pub mod tcp;
+pub mod time;
 pub mod transfer;
 pub mod tsig;
 pub mod wire;
--- a/dns/src/notify.rs
+++ b/dns/src/notify.rs
@@ -7,6 +7,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::query::{Header, Query};
+use crate::time::Now;
 use crate::tsig::{Key, Signer};
 use crate::wire::Rcode;
 use crate::Ms;
@@ -64,7 +65,8 @@
     }
 
     /// The next notice to send, or a secondary that is given up.
-    pub fn poll(&mut self, now: Ms) -> Option<Result<(SocketAddr, Vec<u8>), Ended>> {
+    pub fn poll(&mut self, now: impl Into<Now>) -> Option<Result<(SocketAddr, Vec<u8>), Ended>> {
+        let Now { steady: now, unix_s } = now.into();
         let (origin, soa, ttl, key) = (&self.origin, &self.soa, self.ttl, &self.key);
         for secondary in &mut self.secondaries {
             let Some((id, signer, sent, next)) = &mut secondary.out else { continue };
@@ -85,7 +87,7 @@
             bytes.extend_from_slice(soa);
             if let Some(key) = key {
                 let mut signing = Signer::request(key.clone());
-                signing.sign(&mut bytes, (now / 1000.0) as u64);
+                signing.sign(&mut bytes, unix_s);
                 signing.expects_first();
                 *signer = Some(signing);
             }
@@ -97,7 +99,8 @@
     }
 
     /// What a secondary has answered; what is no answer to a notice of ours is passed over.
-    pub fn received(&mut self, from: SocketAddr, bytes: &[u8], now: Ms) -> Option<Ended> {
+    pub fn received(&mut self, from: SocketAddr, bytes: &[u8], now: impl Into<Now>) -> Option<Ended> {
+        let Now { unix_s, .. } = now.into();
         let header = Header::read(bytes)?;
         let secondary = self.secondaries.iter_mut().find(|s| s.at == from)?;
         let (id, signer, ..) = secondary.out.as_mut()?;
@@ -107,7 +110,7 @@
         let query = Query::read(bytes, &header).ok()?;
         if let Some(signer) = signer {
             let mut signer = signer.clone();
-            if !signer.check(bytes, query.tsig?, (now / 1000.0) as u64) {
+            if !signer.check(bytes, query.tsig?, unix_s) {
                 return None;
             }
         }
--- a/dns/src/tcp.rs
+++ b/dns/src/tcp.rs
@@ -5,6 +5,7 @@
 use std::net::IpAddr;
 
 use crate::answer::Reaction;
+use crate::time::Now;
 use crate::transfer::Transfer;
 use crate::Ms;
 
@@ -102,9 +103,10 @@
     pub fn serve(
         &mut self,
         scratch: &mut Vec<u8>,
-        now: Ms,
+        now: impl Into<Now>,
         mut answer: impl FnMut(&[u8], &mut Vec<u8>) -> Reaction,
     ) -> Next {
+        let Now { steady: now, unix_s } = now.into();
         while self.pending().len() < QUEUE {
             let rest = &self.input[self.used..];
             let length = match rest {
@@ -126,7 +128,7 @@
                     Reaction::Silence | Reaction::Transfer(_) => return Next::Close,
                 }
             } else if let Some(transfer) = self.transfers.front_mut() {
-                match transfer.next(scratch, (now / 1000.0) as u64) {
+                match transfer.next(scratch, unix_s) {
                     true => {
                         frame(&mut self.output, scratch);
                         self.active = now;
--- a/front/src/lifecycle/peer_sockets.rs
+++ b/front/src/lifecycle/peer_sockets.rs
@@ -6,9 +6,12 @@
 use elmtide::Ms;
 use elmtide_dns::notify::{Ended, Notifier};
 use elmtide_dns::peers::Peers;
+use elmtide_dns::time::Now;
 use elmtide_steering::Steering;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 
+use crate::process::clock;
+
 /// By which other fronts are asked and secondaries told.
 pub struct PeerSockets {
     v4: UdpSocket,
@@ -48,6 +51,7 @@
         now: Ms,
     ) {
         let mut bytes = [0; 2048];
+        let both = Now { steady: now, unix_s: clock::wall_s() };
         for socket in [Some(&self.v4), self.v6.as_ref()].into_iter().flatten() {
             for _ in 0..64 {
                 let Ok((got, from)) = socket.recv_from(&mut bytes) else { break };
@@ -56,7 +60,7 @@
                     if let Some(steering) = steering {
                         steering.report(front, condition, now);
                     }
-                } else if let Some(ended) = notifier.as_mut().and_then(|n| n.received(from, said, now)) {
+                } else if let Some(ended) = notifier.as_mut().and_then(|n| n.received(from, said, both)) {
                     report_end(ended);
                 }
             }
@@ -64,7 +68,7 @@
         while let Some((to, bytes)) = peers.as_mut().and_then(|p| p.poll(now)) {
             self.send(to, &bytes);
         }
-        while let Some(next) = notifier.as_mut().and_then(|n| n.poll(now)) {
+        while let Some(next) = notifier.as_mut().and_then(|n| n.poll(both)) {
             match next {
                 Ok((to, bytes)) => self.send(to, &bytes),
                 Err(ended) => report_end(ended),
--- a/front/src/process/clock.rs
+++ b/front/src/process/clock.rs
@@ -51,6 +51,11 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, millis)
 }
 
+/// Seconds of Unix time by the wall clock, for what a protocol ties to it.
+pub fn wall_s() -> u64 {
+    (wall_ms() / 1000.0) as u64
+}
+
 fn millis(span: Duration) -> Ms {
     span.as_secs_f64() * 1000.0
 }
--- a/front/src/server/dns.rs
+++ b/front/src/server/dns.rs
@@ -10,19 +10,26 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use elmtide::Ms;
 use elmtide_dns::answer::{Counts, Server};
+use elmtide_dns::time::Now;
 use elmtide_ratelimit::{Limiter, Limits};
 
 use crate::edge::in_force::InForce;
 use crate::process::datagram_counters::DatagramCounters;
 use crate::process::datagram_listener::DatagramListener;
 use crate::process::log::Log;
-use crate::process::spawn;
 use crate::process::start_gate::StartGate;
+use crate::process::{clock, spawn};
 
 /// So often a waiting thread looks whether it is to stop, and a connection whether its time is up.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// A moment of this process's time line by both clocks that a name server needs.
+fn at(steady: Ms) -> Now {
+    Now { steady, unix_s: clock::wall_s() }
+}
+
 /// What the name servers of a process share.
 pub struct Shared {
     pub counts: Arc<Counts>,
--- a/front/src/server/dns/datagrams.rs
+++ b/front/src/server/dns/datagrams.rs
@@ -9,7 +9,7 @@
 use elmtide::Ms;
 use elmtide_dns::answer::{Client, Reaction, Server, Transport};
 
-use super::{Shared, STOP_CHECK_INTERVAL};
+use super::{at, Shared, STOP_CHECK_INTERVAL};
 use crate::edge::in_force::{InForce, Reader};
 use crate::process::datagram_listener::{DatagramListener, IsolatedSenders, Isolation, ReleaseTimer};
 use crate::process::start_gate::StartGate;
@@ -120,7 +120,7 @@
         }
         let client = Client { address: from.ip(), transport: Transport::Udp };
         let (server, out) = (&mut self.server, &mut self.answer);
-        match catch_unwind(AssertUnwindSafe(|| server.answer(served, client, now, query, out))) {
+        match catch_unwind(AssertUnwindSafe(|| server.answer(served, client, at(now), query, out))) {
             Ok(Reaction::Reply) => self.send(socket, from),
             Ok(Reaction::Silence | Reaction::Transfer(_)) => {}
             Err(_) => self.shared.log.say(|| format!("dns: a query of {from} ended in a panic")),
--- a/front/src/server/dns/streams.rs
+++ b/front/src/server/dns/streams.rs
@@ -13,7 +13,7 @@
 use rustix::buffer::spare_capacity;
 use rustix::event::epoll::{self, EventData, EventFlags};
 
-use super::{Shared, STOP_CHECK_INTERVAL};
+use super::{at, Shared, STOP_CHECK_INTERVAL};
 use crate::edge::in_force::InForce;
 use crate::process::clock;
 use crate::server::acceptor::Acceptor;
@@ -146,8 +146,10 @@
         let served = state.served.as_ref()?;
         let server = &mut self.server;
         loop {
-            let answer = |message: &[u8], out: &mut Vec<u8>| server.answer(served, client, now, message, out);
-            let next = connection.serve(&mut self.scratch, now, answer);
+            let both = at(now);
+            let answer =
+                |message: &[u8], out: &mut Vec<u8>| server.answer(served, client, both, message, out);
+            let next = connection.serve(&mut self.scratch, both, answer);
             let mut wrote = 0;
             while !connection.pending().is_empty() {
                 match stream.write(connection.pending()) {
