Give senders that flood the fleet's socket queues of their own, and classify its errors

Cause, by reading: the fleet's thread had the same kind of socket as the name server, one queue for fronts and strangers alike; and an error that lasts left the socket readable, so that the thread turned without a rest. Change: the socket has a file of its own (fleet/datagram_socket), with isolated senders, the classification of errors, a growing pause where reads are refused, and counters. A socket at rest is connected to a port that nobody sends from; before, to the listener's own address, by which the fleet's thread is woken. With port 0 the system chooses. Ruled out: nothing was seen in service; no fleet was made to suffer by it.

--- a/front/src/fleet/mod.rs
+++ b/front/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 pub mod config_error;
 mod config_limits;
 mod config_settings;
+mod datagram_socket;
 mod display_names;
 pub mod events;
 pub mod hooks;
--- a/front/src/fleet/runner.rs
+++ b/front/src/fleet/runner.rs
@@ -1,8 +1,7 @@
 //! The fleet's thread: it turns datagrams, the store and the clock into calls of [`FleetNode`], and does what the node wants done.
 
-use std::collections::{BTreeMap, HashMap};
-use std::io::ErrorKind;
-use std::net::{SocketAddr, UdpSocket};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -14,10 +13,10 @@
     AgreedCommand, Event, FleetNode, FleetSettings, NodeConfig, NodeError, Output, RecoveredState, SyncResult,
 };
 use elmtide_store::{Store, StoreError};
-use rustix::event::{poll, PollFd, PollFlags, Timespec};
 
 use crate::exchange::Input;
 use crate::fleet::config::FleetConfig;
+use crate::fleet::datagram_socket::FleetSocket;
 use crate::fleet::events::log_event;
 use crate::fleet::node_store::{NodeStore, NotStored};
 use crate::fleet::operator::{OperatorDesk, Order};
@@ -26,12 +25,6 @@
 use crate::fleet_link::{EngineReport, FleetUpdate};
 use crate::process::clock;
 
-/// Most datagrams that are taken in one turn.
-const MAX_DATAGRAMS_PER_TURN: usize = 256;
-/// Most datagrams of one address in one turn: nobody has the thread for itself.
-const MAX_DATAGRAMS_PER_PEER: usize = 64;
-/// Longer than any datagram of a peer.
-const RECEIVE_BUFFER_BYTES: usize = 2048;
 const MIN_WAIT: Duration = Duration::from_micros(200);
 const MAX_WAIT: Duration = Duration::from_millis(50);
 /// How often the shown status is made anew.
@@ -84,7 +77,7 @@
 
 /// The fleet's thread.
 pub struct Runner {
-    socket: UdpSocket,
+    socket: FleetSocket,
     node: FleetNode,
     store: NodeStore,
     /// For a node that has to start anew.
@@ -98,8 +91,6 @@
     report: EngineReport,
     /// The incarnation of this front that others have seen, where that is later than its own.
     seen_incarnation: u64,
-    /// Datagrams of one address above its part of a turn.
-    crowded_datagrams: u64,
     desk: OperatorDesk,
     sites: Option<SiteWatch>,
 }
@@ -108,7 +99,7 @@
     #[allow(clippy::too_many_arguments, reason = "one of each that the thread owns from its start")]
     pub fn new(
         config: &FleetConfig,
-        socket: UdpSocket,
+        socket: FleetSocket,
         node: FleetNode,
         store: Option<Store>,
         template: NodeTemplate,
@@ -128,7 +119,6 @@
             status_made_at: Instant::now(),
             report: EngineReport::default(),
             seen_incarnation: 0,
-            crowded_datagrams: 0,
             desk,
             sites,
         }
@@ -165,33 +155,14 @@
     fn wait(&self) {
         let until_deadline = self.node.next_deadline().saturating_sub(clock::both().monotonic);
         let wait = Duration::from_micros(until_deadline).clamp(MIN_WAIT, MAX_WAIT);
-        let timeout = Timespec { tv_sec: 0, tv_nsec: wait.as_nanos() as _ };
-        let _ = poll(&mut [PollFd::new(&self.socket, PollFlags::IN)], Some(&timeout));
+        self.socket.wait(wait);
     }
 
     fn receive_datagrams(&mut self) {
-        let mut buffer = [0; RECEIVE_BUFFER_BYTES];
-        let mut by_peer: HashMap<SocketAddr, usize> = HashMap::new();
-        for _ in 0..MAX_DATAGRAMS_PER_TURN {
-            match self.socket.recv_from(&mut buffer) {
-                // A wake-up.
-                Ok((0, _)) => {}
-                Ok((length, from)) => {
-                    let count = by_peer.entry(from).or_default();
-                    *count += 1;
-                    if *count > MAX_DATAGRAMS_PER_PEER {
-                        self.crowded_datagrams += 1;
-                        continue;
-                    }
-                    self.node.on_datagram(&buffer[..length], clock::both());
-                    // What has to be synced goes first: the next datagram may depend on it.
-                    self.process_outputs();
-                }
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                // This error is one peer's: nobody listens there.
-                Err(error) if error.kind() == ErrorKind::ConnectionRefused => {}
-                Err(_) => return,
-            }
+        for datagram in self.socket.receive() {
+            self.node.on_datagram(&datagram, clock::both());
+            // What has to be synced goes first: the next datagram may depend on it.
+            self.process_outputs();
         }
     }
 
@@ -274,7 +245,7 @@
 
     fn send(&self, to: FrontId, datagram: &[u8]) {
         if let Some(address) = self.addresses.get(&to) {
-            let _ = self.socket.send_to(datagram, address);
+            self.socket.send(*address, datagram);
         }
     }
 
@@ -367,7 +338,7 @@
         let now = clock::both();
         let names = &self.desk.names().fronts;
         let status = self.node.status(now);
-        let shown = FleetStatusView::new(status, &self.report, names, self.crowded_datagrams, now);
+        let shown = FleetStatusView::new(status, &self.report, names, self.socket.crowded(), now);
         let sites = self.sites.as_ref().map_or_else(Vec::new, |sites| sites.failover().shown());
         self.channels.status.store(Some(Arc::new(FleetStatusView { sites, ..shown })));
     }
--- a/front/src/fleet/start.rs
+++ b/front/src/fleet/start.rs
@@ -1,6 +1,5 @@
 //! Starts the fleet's thread with everything around it: socket, store, operators' socket, and the engine's side.
 
-use std::net::UdpSocket;
 use std::sync::Arc;
 
 use arc_swap::ArcSwapOption;
@@ -14,6 +13,7 @@
 use crate::engine::maintenance_client::MaintenanceClient;
 use crate::exchange::Input;
 use crate::fleet::config::{FleetConfig, FrontEntry};
+use crate::fleet::datagram_socket::FleetSocket;
 use crate::fleet::operator::{OperatorCalls, OperatorDesk, Order};
 use crate::fleet::operator_socket;
 use crate::fleet::runner::{NodeTemplate, Runner, RunnerChannels};
@@ -92,7 +92,8 @@
     let own = config.own(name).ok_or_else(|| StartError::UnknownFront(name.to_owned()))?;
     let settings = config.settings(max_deadline_ms)?;
     let (store, recovered) = open_store(config)?;
-    let (socket, waker) = bind(own)?;
+    let socket = bind(own, &counters)?;
+    let waker = || socket.waker().map_err(StartError::io("fleet socket"));
     let maintenance = settings.maintenance.as_ref().map(|m| maintenance_client(config, name, &settings, m));
     let sites = watch_sites(config, &settings, name, max_deadline_ms, counters)?;
     let failover = sites.as_ref().map(|sites| sites.failover().clone());
@@ -118,6 +119,7 @@
     let path = config.operator_socket(name);
     operator_socket::listen(&path, calls).map_err(StartError::io(path.display()))?;
     let budgets = budget_client(config, own, &template.settings, reports_in, waker()?)?;
+    let fleet = Fleet { orders: orders_in, waker: waker()? };
     let runner = Runner::new(
         config,
         socket,
@@ -129,7 +131,6 @@
         sites,
     );
     spawn("fleet", move || runner.run_until_panic()).map_err(StartError::io("fleet"))?;
-    let fleet = Fleet { orders: orders_in, waker: waker()? };
     Ok(Started { fleet, budgets, maintenance, sites: failover })
 }
 
@@ -144,15 +145,14 @@
     Ok((Some(store), recovered))
 }
 
-/// The socket, and a maker of wakers for the thread that waits on it.
-fn bind(own: &FrontEntry) -> Result<(UdpSocket, impl Fn() -> Result<Waker, StartError>), StartError> {
+/// The socket, with its counters among the program's.
+fn bind(own: &FrontEntry, counters: &Counters) -> Result<FleetSocket, StartError> {
     let address = own.listen.unwrap_or(own.address);
-    let socket = UdpSocket::bind(address).map_err(StartError::io(address))?;
-    socket.set_nonblocking(true).map_err(StartError::io(address))?;
+    let datagrams = counters.fleet_datagrams.get_or_init(Arc::default).clone();
+    let socket = FleetSocket::bind(address, datagrams).map_err(StartError::io(address))?;
     let at = socket.local_addr().map_err(StartError::io(address))?;
     tracing::info!(%at, "fleet: listens");
-    let own_end = socket.try_clone().map_err(StartError::io(address))?;
-    Ok((socket, move || Waker::new(&own_end, at).map_err(StartError::io(at))))
+    Ok(socket)
 }
 
 fn maintenance_client(
--- a/front/src/memory/counters.rs
+++ b/front/src/memory/counters.rs
@@ -48,6 +48,8 @@
     pub dns: OnceLock<Arc<elmtide_dns::answer::Counts>>,
     /// What becomes of the name server's datagrams.
     pub dns_datagrams: OnceLock<Arc<DatagramCounters>>,
+    /// What becomes of the fleet's datagrams.
+    pub fleet_datagrams: OnceLock<Arc<DatagramCounters>>,
     unwritten: AtomicU64,
     pub sent: AtomicU64,
     pub client_connections: AtomicU64,
@@ -124,6 +126,9 @@
         for (name, value) in self.dns_datagrams.get().into_iter().flat_map(|datagrams| datagrams.named()) {
             write!(f, " dns_datagrams_{name}={value}")?;
         }
+        for (name, value) in self.fleet_datagrams.get().into_iter().flat_map(|datagrams| datagrams.named()) {
+            write!(f, " fleet_datagrams_{name}={value}")?;
+        }
         Ok(())
     }
 }
--- a/front/src/process/datagram_listener.rs
+++ b/front/src/process/datagram_listener.rs
@@ -6,9 +6,9 @@
 //! listener's address and connected to the sender; the system prefers it to the shared socket for this sender's datagrams
 //! (`udp(7)`, `connect(2)`).
 //!
-//! Invariant: the sockets for isolated senders never take a datagram of anybody else for good. All of them are bound before the
-//! shared one, and are connected at any moment from then on: at rest to the listener's own address, from which nobody sends.
-//! What lies in their queues is read whoever sent it.
+//! Invariant: a socket for isolated senders takes the datagrams of its sender only, and nothing that lies in its queue is lost. It is
+//! connected at any moment but for that between its binding and its first connection: at rest to a port from which nobody sends.
+//! What came to it in that moment, or from an earlier sender, is read whoever sent it.
 
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
@@ -33,6 +33,8 @@
 /// Datagrams of one isolated sender that are read before the next one has its turn.
 const MAX_DATAGRAMS_PER_TURN: usize = 64;
 
+/// Reserved for a service of old (tcpmux, RFC 1078), and bound by privileged programs only.
+const RESTING_PORT: u16 = 1;
 /// The pause after a wait that the system refuses.
 const FAILED_WAIT_PAUSE: Duration = Duration::from_millis(5);
 
@@ -46,13 +48,15 @@
 }
 
 impl DatagramListener {
-    /// Binds all sockets of an address. Where the system is short of sockets there are fewer to isolate senders with.
+    /// Binds all sockets of an address; with port 0 to one that the system chooses. Where the system is short of sockets there are
+    /// fewer to isolate senders with.
     ///
     /// # Errors
     /// If the shared socket can't be bound.
     pub fn bind(address: SocketAddr) -> io::Result<DatagramListener> {
-        let sockets: Vec<UdpSocket> = (0..MAX_ISOLATED).map_while(|_| resting_socket(address).ok()).collect();
         let shared = reusable_socket(address, SHARED_QUEUE_BYTES)?;
+        let address = shared.local_addr()?;
+        let sockets: Vec<UdpSocket> = (0..MAX_ISOLATED).map_while(|_| resting_socket(address).ok()).collect();
         // From here on the address is ours alone again.
         for socket in sockets.iter().chain([&shared]) {
             sockopt::set_socket_reuseaddr(socket, false)?;
@@ -73,9 +77,14 @@
     Ok(UdpSocket::from(socket))
 }
 
+/// Who a socket at rest is connected to: a port of the listener's own host that programs don't send from.
+fn resting_peer(address: SocketAddr) -> SocketAddr {
+    SocketAddr::new(address.ip(), RESTING_PORT)
+}
+
 fn resting_socket(address: SocketAddr) -> io::Result<UdpSocket> {
     let socket = reusable_socket(address, ISOLATED_QUEUE_BYTES)?;
-    socket.connect(address)?;
+    socket.connect(resting_peer(address))?;
     socket.set_nonblocking(true)?;
     Ok(socket)
 }
@@ -167,7 +176,7 @@
         for (assignment, socket) in assignments.iter_mut().zip(&self.sockets) {
             let received = std::mem::take(&mut assignment.received);
             let is_idle = assignment.sender.is_some() && received < RELEASE_BELOW;
-            if is_idle && socket.connect(self.address).is_ok() {
+            if is_idle && socket.connect(resting_peer(self.address)).is_ok() {
                 assignment.sender = None;
             }
         }
--- a/front/src/process/socket_error.rs
+++ b/front/src/process/socket_error.rs
@@ -13,6 +13,8 @@
     Accept,
     /// `socket` or `connect` to a peer.
     Connect,
+    /// `recv` of a datagram.
+    ReceiveDatagram,
 }
 
 /// What is to be done about a failed call.
@@ -58,6 +60,10 @@
     Errno::ADDRNOTAVAIL,
 ];
 
+/// Errors that a datagram socket passes on of what it has sent before: nobody listens there, or there is no way.
+const ERRORS_OF_EARLIER_DATAGRAMS: [Errno; 5] =
+    [Errno::CONNREFUSED, Errno::HOSTUNREACH, Errno::NETUNREACH, Errno::HOSTDOWN, Errno::NETDOWN];
+
 /// What a failed call calls for.
 pub fn remedy(call: Call, error: &io::Error) -> Remedy {
     if error.kind() == ErrorKind::Interrupted {
@@ -80,7 +86,9 @@
         // No entry is left in the routing cache.
         Call::Connect if errno == Errno::AGAIN => Remedy::BackOff,
         Call::Connect if ERRORS_OF_THE_PEER.contains(&errno) => Remedy::DropConnection,
-        Call::Bind | Call::Accept | Call::Connect => Remedy::GiveUp,
+        Call::ReceiveDatagram if errno == Errno::AGAIN => Remedy::WaitUntilReady,
+        Call::ReceiveDatagram if ERRORS_OF_EARLIER_DATAGRAMS.contains(&errno) => Remedy::RetryNow,
+        Call::Bind | Call::Accept | Call::Connect | Call::ReceiveDatagram => Remedy::GiveUp,
     }
 }
 
--- a/front/src/process/socket_error/tests.rs
+++ b/front/src/process/socket_error/tests.rs
@@ -18,6 +18,10 @@
 #[case::timed_out(Call::Connect, Errno::TIMEDOUT, Remedy::DropConnection)]
 #[case::no_port_left(Call::Connect, Errno::ADDRNOTAVAIL, Remedy::DropConnection)]
 #[case::no_buffers(Call::Connect, Errno::NOBUFS, Remedy::BackOff)]
+#[case::no_datagram(Call::ReceiveDatagram, Errno::AGAIN, Remedy::WaitUntilReady)]
+#[case::nobody_listened(Call::ReceiveDatagram, Errno::CONNREFUSED, Remedy::RetryNow)]
+#[case::no_memory_for_a_datagram(Call::ReceiveDatagram, Errno::NOMEM, Remedy::BackOff)]
+#[case::no_datagram_socket(Call::ReceiveDatagram, Errno::NOTSOCK, Remedy::GiveUp)]
 #[case::not_a_peer(Call::Connect, Errno::INVAL, Remedy::GiveUp)]
 fn each_documented_error_has_its_remedy(#[case] call: Call, #[case] errno: Errno, #[case] expected: Remedy) {
     assert_eq!(remedy(call, &errno.into()), expected);
