--- a/front/src/process/clock.rs
+++ b/front/src/process/clock.rs
@@ -97,7 +97,7 @@
 
     /// Milliseconds from this moment to a later one; `None` if the machine has been started anew in between.
     pub fn until(&self, later: &BootMoment) -> Option<Ms> {
-        (self.boot == later.boot).then(|| later.since_boot_ms - self.since_boot_ms)
+        (self.boot == later.boot).then_some(later.since_boot_ms - self.since_boot_ms)
     }
 }
 
--- a/front/tests/play.rs
+++ b/front/tests/play.rs
@@ -5,21 +5,30 @@
 //! `C ask N CLASS NAME=VALUE...` sends a whole FastCGI request (fields by their usual names and values unless they
 //! are named; `+NAME=VALUE` beside the usual one, `body=N` bytes), `C got N TEXT` reads its whole answer and compares the beginning;
 //! `move FROM TO` (the bus, in the configuration file), `spoil TEXT BY` (in that file), `signal NAME`, `exit CODE`, `log TEXT`, `run CODE ARGS` and, under it, `| TEXT` that its output holds.
-//! In bytes `{d}` is a number, `{N}` any N bytes, `{c*N}` N times the character, `\r \n \xHH` as in Rust.
+//! In bytes `{d}` is a number, `{purged}` the milliseconds since a purge was told, at most what has passed since the stand-in sent it, `{N}` any N bytes, `{c*N}` N times the character, `\r \n \xHH` as in Rust.
 
 mod common;
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Cursor, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream, UdpSocket};
 use std::path::PathBuf;
+use std::time::Instant;
 
 use common::{Program, PATIENCE};
 use rstest::rstest;
 
+thread_local! {
+    /// When a stand-in of this play told of a purge last.
+    static PURGED_AT: Cell<Option<Instant>> = const { Cell::new(None) };
+}
+
 enum Piece {
     Byte(u8),
     Number,
+    /// An age that is 1 at least, and no older than the last purge.
+    SincePurge,
     Any,
 }
 
@@ -31,6 +40,7 @@
             match word.split_once('*') {
                 Some((c, n)) => (0..n.parse().unwrap()).for_each(|_| out.push(Piece::Byte(c.as_bytes()[0]))),
                 None if word == "d" => out.push(Piece::Number),
+                None if word == "purged" => out.push(Piece::SincePurge),
                 None => (0..word.parse::<usize>().unwrap()).for_each(|_| out.push(Piece::Any)),
             }
             rest = tail;
@@ -59,6 +69,9 @@
     pieces(text).into_iter().map(byte).collect()
 }
 
+/// What an event of the bus that purges something has in it.
+const PURGE_KEY: &[u8] = b"\"ban\"";
+
 enum Peer {
     Tcp(TcpStream, Box<dyn BufRead>),
     Udp(UdpSocket),
@@ -72,6 +85,9 @@
     }
 
     fn send(&mut self, data: &[u8]) {
+        if data.windows(PURGE_KEY.len()).any(|part| part == PURGE_KEY) {
+            PURGED_AT.set(Some(Instant::now()));
+        }
         match self {
             Peer::Tcp(stream, _) => stream.write_all(data).unwrap(),
             Peer::Udp(socket) => assert_eq!(socket.send(data).unwrap(), data.len()),
@@ -93,18 +109,29 @@
     }
 }
 
+fn read_number(reader: &mut dyn BufRead, seen: &mut Vec<u8>) -> u64 {
+    let start = seen.len();
+    while let Some(b) = reader.fill_buf().unwrap().first().copied().filter(u8::is_ascii_digit) {
+        seen.push(b);
+        reader.consume(1);
+    }
+    assert!(seen.len() > start, "no number after {:?}", String::from_utf8_lossy(seen));
+    std::str::from_utf8(&seen[start..]).unwrap().parse().unwrap()
+}
+
 /// Reads as far as the text goes; what differs is shown with what came before it.
 fn compare(reader: &mut dyn BufRead, text: &str) {
     let mut seen = Vec::new();
     for piece in pieces(text) {
         match piece {
             Piece::Number => {
-                let start = seen.len();
-                while let Some(b) = reader.fill_buf().unwrap().first().copied().filter(u8::is_ascii_digit) {
-                    seen.push(b);
-                    reader.consume(1);
-                }
-                assert!(seen.len() > start, "no number after {:?}", String::from_utf8_lossy(&seen));
+                read_number(reader, &mut seen);
+            }
+            Piece::SincePurge => {
+                let age = read_number(reader, &mut seen);
+                let purged_at = PURGED_AT.get().expect("a purge was told");
+                let most = purged_at.elapsed().as_millis() as u64 + 1;
+                assert!((1..=most).contains(&age), "{age} ms, {most} at most since the purge was sent");
             }
             Piece::Any | Piece::Byte(_) => {
                 let mut one = [0];
--- a/front/tests/second_front.rs
+++ b/front/tests/second_front.rs
@@ -414,7 +414,9 @@
 impl Drop for Flooder {
     fn drop(&mut self) {
         self.stop.store(true, Relaxed);
-        self.thread.take().map(|thread| thread.join().unwrap());
+        if let Some(thread) = self.thread.take() {
+            thread.join().unwrap();
+        }
     }
 }
 
