Record a request on an ended connection as one that has lost it, in a web server's stand-in

Cause: a race in the stand-in. The end of the connection ends what is open; a request that its sender had begun by then was entered as open afterwards and stayed without an end. Shown by a trace: the connection ended at 8120.199 ms, the request was written at 8120.235 ms. Ruled out: the front. It closed the connection with nothing owed on it, and never read that request. Change: the connection's end and the entry of a request are ordered by one lock; after the end a request is recorded as one whose connection is lost, which the checker judges by the time between writing and close, as any other.

--- a/standins/src/web_server.rs
+++ b/standins/src/web_server.rs
@@ -237,7 +237,7 @@
             record.requests.push(RequestRecord { job, written: Instant::now(), end: None, extra_answers: 0 });
             record.requests.len() - 1
         };
-        lock(&self.shared.open).insert(request_id, place);
+        self.enter_as_open(request_id, place);
         let written = self.write(&bytes);
         if let Some(request) = lock(&self.shared.record).requests.get_mut(place) {
             request.written = Instant::now();
@@ -245,6 +245,17 @@
         written.map(|()| place)
     }
 
+    /// A request is open until its end; on a connection that has ended, its connection is lost from the beginning.
+    fn enter_as_open(&self, request_id: u16, place: usize) {
+        // Under this lock the connection's end ends what is open.
+        let mut open = lock(&self.shared.open);
+        if self.has_ended() {
+            end_request(&self.shared, place, RequestEnd::ConnectionLost);
+        } else {
+            open.insert(request_id, place);
+        }
+    }
+
     fn free_request_id(&self) -> u16 {
         let open = lock(&self.shared.open);
         loop {
@@ -367,18 +378,18 @@
             Err(why) => break why,
         }
     };
+    {
+        let mut record = lock(&shared.record);
+        record.ended = Some(Instant::now());
+        record.reset = why.kind() == ErrorKind::ConnectionReset;
+    }
     {
         let mut open = lock(&shared.open);
         for place in std::mem::take(&mut *open).into_values() {
             end_request(shared, place, RequestEnd::ConnectionLost);
         }
+        shared.ended.store(true, Relaxed);
     }
-    {
-        let mut record = lock(&shared.record);
-        record.ended = Some(Instant::now());
-        record.reset = why.kind() == ErrorKind::ConnectionReset;
-    }
-    shared.ended.store(true, Relaxed);
     // A web server that sees the end of the front's side ends its own.
     let _ = stream.shutdown(Shutdown::Both);
 }
