--- a/front/src/fleet/datagram_socket.rs
+++ b/front/src/fleet/datagram_socket.rs
@@ -18,7 +18,6 @@
 use crate::process::datagram_counters::DatagramCounters;
 use crate::process::datagram_listener::{DatagramListener, Isolation, ReleaseTimer};
 use crate::process::socket_error::{remedy, Call, Remedy};
-use crate::process::system_drops::SystemDrops;
 
 /// Most datagrams that are taken from the shared queue in one turn.
 const MAX_PER_TURN: usize = 256;
@@ -34,8 +33,6 @@
     listener: DatagramListener,
     isolation: Isolation,
     release_timer: ReleaseTimer,
-    dropped: SystemDrops,
-    isolated_dropped: SystemDrops,
     counters: Arc<DatagramCounters>,
     backoff: Backoff,
     /// Nothing is read until then: the system has refused it.
@@ -49,11 +46,10 @@
     pub fn bind(address: SocketAddr, counters: Arc<DatagramCounters>) -> io::Result<FleetSocket> {
         let listener = DatagramListener::bind(address)?;
         listener.shared.set_nonblocking(true)?;
+        counters.watch(&listener.shared, &listener.isolated);
         Ok(FleetSocket {
             isolation: Isolation::new(listener.isolated.clone()),
             release_timer: ReleaseTimer::default(),
-            dropped: SystemDrops::of([&listener.shared]),
-            isolated_dropped: SystemDrops::of(listener.isolated.sockets()),
             listener,
             counters,
             backoff: Backoff::new(FAILED_RECEIVE_PAUSE.0, FAILED_RECEIVE_PAUSE.1),
@@ -86,7 +82,7 @@
         if let Some(resume_at) = self.resume_at {
             return std::thread::sleep(timeout.min(resume_at.saturating_duration_since(Instant::now())));
         }
-        let all = self.listener.isolated.sockets().iter().chain([&self.listener.shared]);
+        let all = self.listener.isolated.sockets_in_use().iter().chain([&self.listener.shared]);
         let mut descriptors: Vec<PollFd<'_>> = all.map(|socket| PollFd::new(socket, PollFlags::IN)).collect();
         let timeout = Timespec { tv_sec: timeout.as_secs() as _, tv_nsec: timeout.subsec_nanos().into() };
         let _ = poll(&mut descriptors, Some(&timeout));
@@ -94,7 +90,7 @@
 
     /// What has come: a turn's part of it. An empty datagram only woke the thread, and is passed over.
     pub fn receive(&mut self) -> Vec<Vec<u8>> {
-        self.look_after_queues();
+        self.release_timer.turn(&self.listener.isolated, clock::steady_ms());
         let mut datagrams = Vec::new();
         let mut buffer = [0; RECEIVE_BUFFER_BYTES];
         self.receive_shared(&mut buffer, &mut datagrams);
@@ -145,13 +141,6 @@
         self.resume_at = Some(Instant::now() + self.backoff.pause());
     }
 
-    fn look_after_queues(&mut self) {
-        if self.release_timer.turn(&self.listener.isolated, clock::steady_ms()) {
-            self.counters.dropped_by_system.fetch_add(self.dropped.take_new(), Relaxed);
-            self.counters.isolated_dropped_by_system.fetch_add(self.isolated_dropped.take_new(), Relaxed);
-        }
-    }
-
     /// Sends a datagram. What is lost is sent again by whoever misses an answer.
     pub fn send(&self, to: SocketAddr, datagram: &[u8]) {
         let socket: &UdpSocket = &self.listener.shared;
--- a/front/src/process/datagram_listener.rs
+++ b/front/src/process/datagram_listener.rs
@@ -12,6 +12,7 @@
 
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -104,12 +105,15 @@
     sockets: Vec<UdpSocket>,
     /// One for each socket.
     assignments: Mutex<Vec<Assignment>>,
+    /// Some queue is in use, or may still hold something. Set and reset with the assignments locked.
+    in_use: AtomicBool,
 }
 
 impl IsolatedSenders {
     fn new(address: SocketAddr, sockets: Vec<UdpSocket>) -> IsolatedSenders {
         let assignments = Mutex::new(vec![Assignment::default(); sockets.len()]);
-        IsolatedSenders { address, sockets, assignments }
+        // What came between a socket's binding and its first connection lies in its queue.
+        IsolatedSenders { address, sockets, assignments, in_use: AtomicBool::new(true) }
     }
 
     fn assignments(&self) -> MutexGuard<'_, Vec<Assignment>> {
@@ -133,6 +137,7 @@
             return false;
         }
         assignments[free] = Assignment { sender: Some(sender), received: 0 };
+        self.in_use.store(true, Relaxed);
         true
     }
 
@@ -149,8 +154,22 @@
         }
     }
 
+    /// The sockets that may have something.
+    pub fn sockets_in_use(&self) -> &[UdpSocket] {
+        if self.in_use.load(Relaxed) {
+            &self.sockets
+        } else {
+            &[]
+        }
+    }
+
     /// Hands on what lies in the queues, a bounded number of datagrams of each, with the socket that answers go out by.
     pub fn receive(&self, buffer: &mut [u8], mut take: impl FnMut(&UdpSocket, &[u8], SocketAddr)) {
+        // A thread that turns often must not pay for queues that nobody uses.
+        if !self.in_use.load(Relaxed) {
+            return;
+        }
+        let mut all = 0;
         for (place, socket) in self.sockets.iter().enumerate() {
             let mut received = 0;
             for _ in 0..MAX_DATAGRAMS_PER_TURN {
@@ -167,6 +186,11 @@
             if received > 0 {
                 self.assignments()[place].received += received;
             }
+            all += received;
+        }
+        let assignments = self.assignments();
+        if all == 0 && assignments.iter().all(|a| a.sender.is_none()) {
+            self.in_use.store(false, Relaxed);
         }
     }
 
--- a/front/src/process/system_drops.rs
+++ b/front/src/process/system_drops.rs
@@ -25,7 +25,7 @@
         SystemDrops { inodes: sockets.into_iter().filter_map(inode).collect(), seen: BTreeMap::new() }
     }
 
-    /// Datagrams dropped since the last call.
+    /// Datagrams dropped since the last call. It reads a line for each UDP socket of the machine.
     pub fn take_new(&mut self) -> u64 {
         let tables = TABLES.iter().filter_map(|path| std::fs::read_to_string(path).ok());
         tables.map(|table| self.take_new_of(&table)).sum()
--- a/front/src/server/dns/datagrams.rs
+++ b/front/src/server/dns/datagrams.rs
@@ -13,7 +13,6 @@
 use crate::edge::in_force::{InForce, Reader};
 use crate::process::datagram_listener::{DatagramListener, IsolatedSenders, Isolation, ReleaseTimer};
 use crate::process::start_gate::StartGate;
-use crate::process::system_drops::SystemDrops;
 use crate::process::{clock, spawn};
 
 /// Longer than any query.
@@ -42,12 +41,11 @@
         spawn("dns-udp", run)?;
     }
     let responder = Responder::new(in_force, shared);
-    let drops =
-        Drops { of_shared: SystemDrops::of([&socket]), of_isolated: SystemDrops::of(isolated.sockets()) };
+    shared.datagrams.watch(&socket, &isolated);
     let (stop, gate) = (stop.clone(), gate.clone());
     let run = move || {
         gate.wait();
-        serve_isolated(&isolated, responder, drops, &stop);
+        serve_isolated(&isolated, responder, &stop);
     };
     spawn("dns-isolated", run).map(drop)
 }
@@ -75,13 +73,7 @@
     }
 }
 
-/// Drops of the system at the sockets of one address.
-struct Drops {
-    of_shared: SystemDrops,
-    of_isolated: SystemDrops,
-}
-
-fn serve_isolated(senders: &IsolatedSenders, mut responder: Responder, mut drops: Drops, stop: &AtomicBool) {
+fn serve_isolated(senders: &IsolatedSenders, mut responder: Responder, stop: &AtomicBool) {
     let mut bytes = [0; QUERY_BYTES];
     let mut timer = ReleaseTimer::default();
     while !stop.load(Relaxed) {
@@ -91,8 +83,8 @@
             responder.shared.datagrams.isolated_received.fetch_add(1, Relaxed);
             responder.respond(socket, query, from, now);
         });
-        if timer.turn(senders, now) {
-            responder.report_drops(&mut drops);
+        if timer.turn(senders, now) && !senders.sockets_in_use().is_empty() {
+            responder.report_drops();
         }
     }
 }
@@ -142,12 +134,9 @@
         }
     }
 
-    /// Counts what the system has dropped since the last call, and logs it where it may have been anybody's.
-    fn report_drops(&self, drops: &mut Drops) {
-        let counters = &self.shared.datagrams;
-        counters.isolated_dropped_by_system.fetch_add(drops.of_isolated.take_new(), Relaxed);
-        let dropped = drops.of_shared.take_new();
-        counters.dropped_by_system.fetch_add(dropped, Relaxed);
+    /// Logs what the system has dropped since the last call where it may have been anybody's.
+    fn report_drops(&self) {
+        let dropped = self.shared.datagrams.refresh_drops();
         if dropped > 0 {
             self.shared
                 .log
