--- a/review/standins/src/bin/case3.rs
+++ b/review/standins/src/bin/case3.rs
@@ -39,7 +39,7 @@
         place.configure(&bus, &settings(SITE_DEADLINES))?;
         let at: SocketAddr = format!("127.0.0.1:{http}").parse().map_err(text("address"))?;
         let front = place.start(true, record)?;
-        sleep(Duration::from_millis(300));
+        front.wait("edge: http on", Duration::from_secs(10))?;
 
         let mut client = Http::connect(at)?;
         let mut ask = || -> Res<(u16, String)> {
