Review case 2: after an outage of discovery a front of a large fleet hears nothing more

A front takes no answer of the event bus over 1 MiB and asks again from the same number without end, so that after an outage in which more has gathered it heeds no purge and no drain.

Added: the case with its claim and script, a bus that goes down, and a web server's connection.

--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -10,7 +10,7 @@
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -109,6 +109,9 @@
 struct Book {
     events: Mutex<Vec<String>>,
     more: Condvar,
+    /// While it is down, it ends open connections and takes no new ones.
+    down: AtomicBool,
+    open: Mutex<Vec<TcpStream>>,
 }
 
 /// The event bus: numbered events, read on from the last number that a reader has.
@@ -135,29 +138,52 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let bus = serving.clone();
+                let mut open = lock(&bus.book.open);
+                if bus.book.down.load(Relaxed) {
+                    continue;
+                }
+                open.extend(stream.try_clone());
+                drop(open);
                 thread::spawn(move || bus.serve(stream));
             }
         });
         Ok(bus)
     }
 
-    fn say(&self, event: &str) -> usize {
+    fn say(&self, event: &str, quiet: bool) -> usize {
         let mut events = lock(&self.book.events);
         let number = events.len() + 1;
-        self.record.say(format!("bus      event {number}: {event}"));
+        if !quiet {
+            self.record.say(format!("bus      event {number}: {event:.200}"));
+        }
         events.push(format!(r#"{{"offset":{number},{event}}}"#));
         self.book.more.notify_all();
         number
     }
 
+    /// Goes down, or comes back. The events that come meanwhile are told afterwards.
+    pub fn set_down(&self, down: bool) {
+        let mut open = lock(&self.book.open);
+        self.book.down.store(down, Relaxed);
+        if down {
+            open.drain(..).for_each(|stream| drop(stream.shutdown(std::net::Shutdown::Both)));
+        }
+        self.record.say(format!("bus      {}", if down { "is down" } else { "is back" }));
+    }
+
     pub fn list(&self, full: bool, servers: &[String]) {
         let servers = servers.join(",");
-        self.say(&format!(r#""topology":{{"version":1,"full":{full},"servers":[{servers}]}}"#));
+        self.say(&format!(r#""topology":{{"version":1,"full":{full},"servers":[{servers}]}}"#), false);
+    }
+
+    /// One server's change, one of thousands: it is not recorded by itself.
+    pub fn change(&self, server: &str) {
+        self.say(&format!(r#""topology":{{"version":1,"full":false,"servers":[{server}]}}"#), true);
     }
 
     /// A purge of an object, made at this Unix millisecond.
     pub fn purge(&self, object: &str, ts: u64) -> usize {
-        self.say(&format!(r#""ban":{{"url":"{object}","ts":{ts}}}"#))
+        self.say(&format!(r#""ban":{{"url":"{object}","ts":{ts}}}"#), false)
     }
 
     /// All events so far, in the form of `known`.
@@ -192,8 +218,16 @@
             let events = waited.unwrap_or_else(|p| p.into_inner()).0;
             let fresh: Vec<String> = events.iter().skip(from).cloned().collect();
             let body = format!(r#"{{"offset":{},"batch":[{}]}}"#, events.len().max(from), fresh.join(","));
+            if self.book.down.load(Relaxed) {
+                return None;
+            }
             if !fresh.is_empty() {
-                self.record.say(format!("bus      tells events {} to {}", from + 1, events.len()));
+                let bytes = body.len();
+                self.record.say(format!(
+                    "bus      tells events {} to {}, {bytes} bytes",
+                    from + 1,
+                    events.len()
+                ));
             }
             drop(events);
             let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
@@ -468,6 +502,66 @@
     )
 }
 
+// ---- Web server ---------------------------------------------------------------------------------------------
+
+/// A connection of a web server, which speaks FastCGI 1.0 and keeps it; one request at a time.
+pub struct Web {
+    stream: TcpStream,
+    last_id: u16,
+}
+
+impl Web {
+    pub fn connect(at: SocketAddr) -> Res<Web> {
+        let stream = TcpStream::connect_timeout(&at, Duration::from_secs(1)).map_err(text("connect"))?;
+        stream.set_nodelay(true).map_err(text("connect"))?;
+        Ok(Web { stream, last_id: 0 })
+    }
+
+    /// Asks for an object of the group 17: status and body of the answer.
+    pub fn get(&mut self, class: &str, item: &str, allow_ms: u64, patience: Duration) -> Res<(u16, String)> {
+        self.last_id = self.last_id % 60_000 + 1;
+        let [high, low] = self.last_id.to_be_bytes();
+        let record = |kind: u8, content: &[u8]| {
+            let length = (content.len() as u16).to_be_bytes();
+            [&[1, kind, high, low, length[0], length[1], 0, 0], content].concat()
+        };
+        let (script, job, allow) = (format!("/api/v2/{class}"), new_id(), allow_ms.to_string());
+        let pairs = [
+            ("SCRIPT_NAME", &script[..]),
+            ("HTTP_X_JOB_ID", &job),
+            ("HTTP_X_ITEM", item),
+            ("HTTP_X_SLICE", "0"),
+            ("HTTP_X_SET", "17"),
+            ("HTTP_X_RAM_KB", "100"),
+            ("HTTP_X_ALLOW_MS", &allow),
+        ];
+        let mut params = Vec::new();
+        for (name, value) in pairs {
+            params.extend([name.len() as u8, value.len() as u8]);
+            params.extend([name.as_bytes(), value.as_bytes()].concat());
+        }
+        let begin = record(1, &[0, 1, 1, 0, 0, 0, 0, 0]);
+        let request = [begin, record(4, &params), record(4, b""), record(5, b"")].concat();
+        self.stream.write_all(&request).map_err(text("send"))?;
+        self.stream.set_read_timeout(Some(patience)).map_err(text("read"))?;
+        let (mut out, mut head) = (Vec::new(), [0; 8]);
+        loop {
+            self.stream.read_exact(&mut head).map_err(text("read"))?;
+            let length = usize::from(u16::from_be_bytes([head[4], head[5]]));
+            let mut content = vec![0; length + usize::from(head[6])];
+            self.stream.read_exact(&mut content).map_err(text("read"))?;
+            match head[1] {
+                6 => out.extend(&content[..length]),
+                3 => break,
+                _ => {}
+            }
+        }
+        let out = String::from_utf8_lossy(&out).into_owned();
+        let status = out.strip_prefix("Status: ").and_then(|s| s.get(..3)?.parse().ok()).unwrap_or(0);
+        Ok((status, out.split_once("\r\n\r\n").map_or(String::new(), |(_, body)| body.into())))
+    }
+}
+
 // ---- The project's program ----------------------------------------------------------------------------------
 
 #[derive(Default)]
@@ -654,6 +748,23 @@
 /// The deadlines of the site's classes.
 pub const SITE_DEADLINES: [u64; 3] = [5000, 2500, 3000];
 
+/// The same in a fleet with this many locations `edge-N` in all; the front is at the first.
+pub fn settings_of_fleet(deadlines: [u64; 3], locations: usize) -> String {
+    let mut names = vec!["\"east\"".to_owned(), "\"west\"".to_owned()];
+    names.extend((1..=locations).map(|n| format!("\"edge-{n}\"")));
+    let of_all = |first: &str, other: &str| {
+        let mut all = vec![first.to_owned(), first.to_owned()];
+        all.extend((0..locations).map(|_| other.to_owned()));
+        all.join(",")
+    };
+    settings(deadlines)
+        .replace(r#""Zones":["east","west","edge-1"]"#, &format!(r#""Zones":[{}]"#, names.join(",")))
+        .replace(r#""CountByZone":[0,0,2]"#, &format!(r#""CountByZone":[{}]"#, of_all("0", "2")))
+        .replace(r#""LinkInKbPerS":[0.0,0.0,0.0]"#, &format!(r#""LinkInKbPerS":[{}]"#, of_all("0.0", "0.0")))
+        .replace(r#""ZoneHub":[0,1,0]"#, &format!(r#""ZoneHub":[0,1,{}]"#, vec!["0"; locations].join(",")))
+        .replace(r#""GroupSize":2"#, &format!(r#""GroupSize":{}"#, 2 * locations))
+}
+
 /// Settings as the platform gives them to a front of the location `edge-1`, of the form on the wire page, with the site's
 /// classes: two that may be repeated and are kept, and signups, which must not run twice. The site's deadlines are 5000,
 /// 2500 and 3000 ms.
