--- a/review/standins/src/bin/case2.rs
+++ b/review/standins/src/bin/case2.rs
@@ -15,7 +15,7 @@
 const DROPPED_AFTER: Duration = Duration::from_secs(5);
 /// The most cache nodes of a fleet, in so many locations.
 const NODES: usize = 3200;
-const LOCATIONS: usize = 100;
+const LOCATIONS: usize = 240;
 /// Six in ten are replaced within 7 s; discovery is down for 8 s.
 const REPLACED: usize = NODES * 6 / 10;
 const RELEASE: Duration = Duration::from_secs(7);
