Event bus: an answer of any length is heard, event by event, in bounded memory

Cause: an answer was decoded only when it was complete and at most 1 MiB long. A longer one was refused, nothing of it was taken, and it was asked for again from the same number, where it only grows. FULL_RESPONSE_TIMEOUT (0.7 s for the whole answer) had the same effect for an answer that takes longer.

Change: the body is decoded as it arrives (wire/http_body, wire/bus/batch), each event is applied when its last byte is there and never asked for again. Memory is bounded by event (16 MiB, 16,384 servers) and by events that wait for an earlier one (1 MiB; the highest numbers are dropped and asked for again). An event that is too long is skipped with a log line, since it would hold up all later ones. The limit on time is now on the time without progress.

--- /dev/null
+++ b/front/src/client/bus/applier.rs
@@ -0,0 +1,117 @@
+//! Applies bus events: passes each to the engine once, in the order of their numbers. Consecutive changes of the server
+//! list are merged: the engine's work for a change grows with the size of the fleet, and after an outage of the bus
+//! thousands of changes arrive at once while requests wait for the engine.
+
+use std::ops::ControlFlow;
+use std::sync::atomic::Ordering::Relaxed;
+use std::sync::Arc;
+
+use crossbeam_channel::Sender;
+
+use super::list_changes::ListChanges;
+use super::names::NameTable;
+use crate::client::start_times::StartTimes;
+use crate::exchange::Input;
+use crate::memory::counters::Counters;
+use crate::process::clock;
+use crate::wire::bus::{Batch, Event, EventError};
+
+/// Passes events to the engine, and knows which one was the last.
+pub struct EventApplier {
+    names: NameTable,
+    start_times: StartTimes,
+    last_event: u64,
+    /// Changes that have not been passed to the engine yet.
+    changes: ListChanges,
+    inputs: Sender<Input>,
+    counters: Arc<Counters>,
+}
+
+impl EventApplier {
+    /// Creates an applier that has applied no event.
+    pub fn new(names: NameTable, inputs: Sender<Input>, counters: Arc<Counters>) -> EventApplier {
+        EventApplier {
+            names,
+            start_times: StartTimes::default(),
+            last_event: 0,
+            changes: ListChanges::default(),
+            inputs,
+            counters,
+        }
+    }
+
+    /// Number of the last event that was applied or skipped.
+    pub fn last_event(&self) -> u64 {
+        self.last_event
+    }
+
+    /// Applies an event, unless it or a later one has been applied: events are delivered again if an answer was lost.
+    /// An event that can't be used is logged and skipped. Changes of the server list reach the engine with `flush` at
+    /// the latest. Returns `Break` once the engine has stopped.
+    pub fn apply(&mut self, number: u64, event: Result<Event, EventError>) -> ControlFlow<()> {
+        if number <= self.last_event {
+            return ControlFlow::Continue(());
+        }
+        match event {
+            Ok(event) => self.apply_valid(&event)?,
+            Err(reason) => eprintln!("bus: event {number} can't be used: {reason}"),
+        }
+        self.advance_to(number);
+        ControlFlow::Continue(())
+    }
+
+    /// Applies a batch that is complete.
+    pub fn apply_batch(&mut self, mut batch: Batch) -> ControlFlow<()> {
+        batch.events.sort_by_key(|(number, _)| *number);
+        for (number, event) in batch.events {
+            self.apply(number, Ok(event))?;
+        }
+        self.flush()?;
+        self.advance_to(batch.offset);
+        self.record_heard();
+        ControlFlow::Continue(())
+    }
+
+    fn apply_valid(&mut self, event: &Event) -> ControlFlow<()> {
+        let mut input = self.names.input(event);
+        if let Input::MembersListed { event, .. } = &mut input {
+            self.start_times.convert(event, clock::to_steady_ms);
+        }
+        self.counters.bus_events.fetch_add(1, Relaxed);
+        match self.changes.merge(input) {
+            Ok(()) => ControlFlow::Continue(()),
+            Err(input) => {
+                self.flush()?;
+                match self.changes.merge(input) {
+                    Ok(()) => ControlFlow::Continue(()),
+                    Err(input) => self.send(input),
+                }
+            }
+        }
+    }
+
+    /// Passes the changes that were merged to the engine. Returns `Break` once the engine has stopped.
+    pub fn flush(&mut self) -> ControlFlow<()> {
+        match self.changes.take() {
+            Some(input) => self.send(input),
+            None => ControlFlow::Continue(()),
+        }
+    }
+
+    fn send(&self, input: Input) -> ControlFlow<()> {
+        match self.inputs.send(input) {
+            Ok(()) => ControlFlow::Continue(()),
+            Err(_) => ControlFlow::Break(()),
+        }
+    }
+
+    /// All events that the bus had a moment ago have been applied.
+    pub fn record_heard(&self) {
+        self.counters.bus_heard.store(clock::steady_ms() as u64, Relaxed);
+    }
+
+    /// The bus has no event up to this number that has not been applied.
+    pub fn advance_to(&mut self, number: u64) {
+        self.last_event = self.last_event.max(number);
+    }
+}
--- a/front/src/lifecycle/config.rs
+++ b/front/src/lifecycle/config.rs
@@ -107,10 +107,7 @@
             None => address(&root, "listen")?,
         };
         let seed = root["seed"].as_str().ok_or("seed is missing or no text")?;
-        let (known, bad) = bus::parse_batch(&root["known"]).map_err(|why| format!("known: {why}"))?;
-        if let Some((number, why)) = bad.first() {
-            return Err(format!("known: event {number}: {why}"));
-        }
+        let known = bus::decode_known(&root["known"]).map_err(|why| format!("known: {why}"))?;
         let classes: Vec<Class> =
             (settings_json["RequestClasses"].as_array().into_iter().flatten().enumerate())
                 .map(|(place, class)| Class {
--- a/front/src/lifecycle/serve.rs
+++ b/front/src/lifecycle/serve.rs
@@ -12,7 +12,6 @@
 
 use crate::client::bus::{BusAddress, BusFollower};
 use crate::client::pool::Pool;
-use crate::client::start_times::StartTimes;
 use crate::engine::Engine;
 use crate::exchange::Input;
 use crate::fleet;
@@ -61,14 +60,7 @@
     let at = listener.local_addr().map_err(|e| e.to_string())?;
 
     // The initial member list is applied before the first request can arrive.
-    let mut follower = BusFollower {
-        names: config.names.clone(),
-        start_times: StartTimes::default(),
-        last_event: 0,
-        inputs: inputs.clone(),
-        counters: counters.clone(),
-        seed: config.seed,
-    };
+    let follower = BusFollower::new(config.names.clone(), inputs.clone(), counters.clone(), config.seed);
     let pool = Pool::new(config.pool, inputs.clone(), counters.clone());
     let names = config.classes.iter().map(|c| c.name.clone()).collect();
     let engine =
@@ -80,7 +72,7 @@
         }
     };
     let stopped = start_engine(engine, events)?;
-    follower.apply(Ok((std::mem::take(&mut config.known), Vec::new())))?;
+    follower.apply_known(std::mem::take(&mut config.known)).map_err(|e| e.to_string())?;
     let longest = Longest::new(config.longest_deadline);
     let bus = Arc::new(BusAddress::new(config.bus));
     let followed = bus.clone();
--- a/front/src/wire/mod.rs
+++ b/front/src/wire/mod.rs
@@ -3,5 +3,6 @@
 pub mod bus;
 pub mod fastcgi;
 pub mod http;
+pub mod http_body;
 pub mod lines;
 pub mod management;
