Event bus: a slow bus is waited for on one connection while others are tried

Callers saw: with a bus that takes longer than 1.4 s to the first byte of each answer, or for one event, or 0.5 s to accept a connection, no purge or drain was heeded any more: the connection was closed, and the same was asked for again with the same limit.

Ruled out: a longer limit alone.

Change: the first connection that counts as silent stays open as the patient one, a successor thread goes on with new connections as before. An answer on any of them ends the patient one; its patience is 8 s without an event, doubled each time that it was not enough. Two connections at most. An event that is skipped for its length is skipped once, also if both read it.

--- a/front/src/client/bus.rs
+++ b/front/src/client/bus.rs
@@ -1,7 +1,9 @@
 //! Follows the event bus by long polling: reads on from the last event received for as long as the front runs.
 //!
 //! Events are applied as they arrive and are never asked for again, so an answer of any length is heard, in parts if its
-//! connection ends early. What is refused of an answer is bounded in memory by event, not by answer.
+//! connection ends early. What is refused of an answer is bounded in memory by event, not by answer. A connection that
+//! counts as silent may be waited for while others are tried beside it (see [`patient`]), so an answer is heard however long
+//! the bus takes for it.
 
 mod address;
 mod answer;
@@ -9,9 +11,11 @@
 mod deadline;
 mod list_changes;
 mod names;
+mod patient;
 mod pending;
+mod reader;
 
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::Ordering::Relaxed;
 use std::sync::{Arc, Mutex};
@@ -20,19 +24,19 @@
 use crossbeam_channel::Sender;
 
 pub use self::address::BusAddress;
-use self::answer::{lock, AfterAnswer, Connection, ReadError};
+use self::answer::{lock, ReadError};
 use self::applier::EventApplier;
 pub use self::names::NameTable;
+use self::patient::PatientSlot;
+use self::reader::{ReadEnd, Reader};
 use crate::exchange::Input;
 use crate::memory::counters::Counters;
-use crate::process::jitter_fraction;
+use crate::process::{jitter_fraction, spawn, spawn_at_start};
 use crate::wire::bus::Batch;
 
 /// The bus counts an announcement as delivered 2 s after the end of the requested wait, whether or not it was
 /// received. The wait is short enough to detect a silent bus and to ask again before that.
 const LONG_POLL_WAIT_MS: u64 = 1000;
-/// Limits connecting and each write.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// The delay before the first retry; it doubles with each failure.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -54,15 +58,31 @@
 /// Applies the events of the bus.
 pub struct BusFollower {
     applier: Mutex<EventApplier>,
+    bus: Arc<BusAddress>,
+    patient: Arc<PatientSlot>,
+    /// The delay before the next retry.
+    backoff: Mutex<Duration>,
     counters: Arc<Counters>,
     seed: u64,
 }
 
 impl BusFollower {
     /// Creates a follower that has applied no event. `seed` spreads the retries of different fronts.
-    pub fn new(names: NameTable, inputs: Sender<Input>, counters: Arc<Counters>, seed: u64) -> BusFollower {
-        let applier = Mutex::new(EventApplier::new(names, inputs, counters.clone()));
-        BusFollower { applier, counters, seed }
+    pub fn new(
+        names: NameTable,
+        inputs: Sender<Input>,
+        bus: Arc<BusAddress>,
+        counters: Arc<Counters>,
+        seed: u64,
+    ) -> BusFollower {
+        BusFollower {
+            applier: Mutex::new(EventApplier::new(names, inputs, counters.clone())),
+            bus,
+            patient: Arc::default(),
+            backoff: Mutex::new(MIN_RETRY_DELAY),
+            counters,
+            seed,
+        }
     }
 
     /// Applies the events that are known at startup.
@@ -74,60 +94,66 @@
         Ok(())
     }
 
-    /// Reads events until the engine stops, following changes of the bus address.
-    pub fn follow(self, bus: &BusAddress) {
-        let mut backoff = MIN_RETRY_DELAY;
+    /// Starts the thread that reads events until the engine stops, following changes of the bus address.
+    pub fn start(self: Arc<Self>) -> std::io::Result<()> {
+        spawn_at_start("bus", move || self.follow()).map(drop)
+    }
+
+    fn follow(self: Arc<Self>) {
         loop {
-            let addr = bus.current();
+            let addr = self.bus.current();
+            let reader = Reader::new(&self, addr);
             // A panic must not permanently stop the delivery of purges and drains.
-            let run = AssertUnwindSafe(|| self.read_events(addr, bus, &mut backoff));
-            let failure = match catch_unwind(run).unwrap_or(Err(ReadError::Panicked)) {
-                Ok(EngineStopped) => return,
-                Err(failure) => failure,
-            };
-            if bus.current() != addr {
-                backoff = MIN_RETRY_DELAY;
-                continue;
+            let run = AssertUnwindSafe(|| reader.read_events());
+            let result = catch_unwind(run).unwrap_or(Err(ReadError::Panicked));
+            if reader.has_handed_over() {
+                return reader.report_end(&result);
+            }
+            match result {
+                Ok(ReadEnd::EngineStopped) => return,
+                Ok(ReadEnd::ConnectionClosed) => {}
+                Err(failure) => self.wait_before_retry(&failure, addr),
             }
-            let failures = self.counters.bus_failures.fetch_add(1, Relaxed);
-            let delay = jittered_delay(backoff, self.seed, failures);
-            eprintln!("bus: {failure}; asking again within {} ms", backoff.as_millis());
-            bus.wait_until_moved(addr, delay);
-            backoff = (backoff * 2).min(MAX_RETRY_DELAY);
         }
     }
 
-    /// Reads events from this address until the engine stops.
-    fn read_events(
-        &self,
-        addr: SocketAddr,
-        bus: &BusAddress,
-        backoff: &mut Duration,
-    ) -> Result<EngineStopped, ReadError> {
-        loop {
-            let stream = connect(addr).map_err(ReadError::Connect)?;
-            let stream = Arc::new(stream);
-            if !bus.register(addr, &stream) {
-                return Err(ReadError::AddressChanged);
-            }
-            let mut connection = Connection::new(&stream, addr.to_string(), &self.applier);
-            loop {
-                match connection.read_events()? {
-                    AfterAnswer::EngineStopped => return Ok(EngineStopped),
-                    AfterAnswer::KeepAlive => *backoff = MIN_RETRY_DELAY,
-                    AfterAnswer::Close => break,
-                }
-            }
-            *backoff = MIN_RETRY_DELAY;
+    /// Starts another thread that goes on in place of one whose connection counts as silent.
+    fn start_successor(self: Arc<Self>, silent_addr: SocketAddr) -> std::io::Result<()> {
+        let run = move || {
+            self.wait_before_retry(&ReadError::Silent, silent_addr);
+            self.follow();
+        };
+        spawn("bus", run).map(drop)
+    }
+
+    /// Waits before the next attempt, unless the address has changed.
+    fn wait_before_retry(&self, failure: &ReadError, addr: SocketAddr) {
+        if self.bus.current() != addr {
+            return self.reset_backoff();
         }
+        let failures = self.counters.bus_failures.fetch_add(1, Relaxed);
+        let backoff = self.next_backoff();
+        eprintln!("bus: {failure}; asking again within {} ms", backoff.as_millis());
+        self.bus.wait_until_moved(addr, jittered_delay(backoff, self.seed, failures));
+    }
+
+    /// The delay before this retry; the next one waits twice as long.
+    fn next_backoff(&self) -> Duration {
+        let mut backoff = self.backoff.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let current = *backoff;
+        *backoff = (current * 2).min(MAX_RETRY_DELAY);
+        current
     }
-}
 
-fn connect(addr: SocketAddr) -> std::io::Result<TcpStream> {
-    let stream = TcpStream::connect_timeout(&addr, CONNECT_TIMEOUT)?;
-    stream.set_nodelay(true)?;
-    stream.set_write_timeout(Some(CONNECT_TIMEOUT))?;
-    Ok(stream)
+    fn reset_backoff(&self) {
+        *self.backoff.lock().unwrap_or_else(|poisoned| poisoned.into_inner()) = MIN_RETRY_DELAY;
+    }
+
+    /// An answer was received to its end.
+    fn on_answer(&self) {
+        self.reset_backoff();
+        self.patient.on_answer();
+    }
 }
 
 #[cfg(test)]
--- a/front/src/client/bus/answer.rs
+++ b/front/src/client/bus/answer.rs
@@ -5,7 +5,7 @@
 use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::sync::{Mutex, MutexGuard};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::applier::EventApplier;
 use super::deadline::ProgressDeadline;
@@ -39,6 +39,8 @@
     Status(u16),
     #[error("{0}")]
     Batch(BatchError),
+    #[error("silent")]
+    Silent,
     #[error("the reader panicked")]
     Panicked,
 }
@@ -67,10 +69,27 @@
     host: String,
 }
 
+/// Asked when a connection counts as silent.
+pub trait OnSilence {
+    /// How much longer the connection is waited for; `None` if it is closed.
+    fn on_silence(&self) -> Option<Duration>;
+}
+
 impl<'a> Connection<'a> {
-    pub fn new(stream: &'a TcpStream, host: String, applier: &'a Mutex<EventApplier>) -> Connection<'a> {
-        let deadline = Rc::new(ProgressDeadline::after_request(Instant::now()));
-        let timed = TimedStream { stream, deadline: deadline.clone(), applier };
+    /// `patience` is set if the connection may be silent for so long from the start.
+    pub fn new(
+        stream: &'a TcpStream,
+        host: String,
+        applier: &'a Mutex<EventApplier>,
+        silence: &'a dyn OnSilence,
+        patience: Option<Duration>,
+    ) -> Connection<'a> {
+        let now = Instant::now();
+        let deadline = Rc::new(ProgressDeadline::after_request(now));
+        if let Some(patience) = patience {
+            deadline.set_patience(now, patience);
+        }
+        let timed = TimedStream { stream, deadline: deadline.clone(), applier, silence };
         let input = BufReader::with_capacity(READ_BYTES, timed);
         Connection { input, deadline, applier, host }
     }
@@ -86,7 +105,7 @@
         if head.status != 200 {
             return Err(ReadError::Status(head.status));
         }
-        self.apply_body(&head)
+        self.apply_body(&head, last_event)
     }
 
     fn read_head(&mut self) -> Result<ResponseHead, ReadError> {
@@ -103,9 +122,8 @@
         }
     }
 
-    fn apply_body(&mut self, head: &ResponseHead) -> Result<AfterAnswer, ReadError> {
-        let pending = PendingEvents::default();
-        let mut receiver = OrderedReceiver { applier: self.applier, pending, deadline: &self.deadline };
+    fn apply_body(&mut self, head: &ResponseHead, asked_from: u64) -> Result<AfterAnswer, ReadError> {
+        let mut receiver = OrderedReceiver::new(self.applier, &self.deadline, asked_from);
         let mut body = BodyReader::new(&mut self.input, head.body);
         match read_batch(&mut body, MAX_EVENT_BYTES, &mut receiver) {
             Ok(offset) if receiver.finish(offset).is_break() => Ok(AfterAnswer::EngineStopped),
@@ -128,6 +146,7 @@
     stream: &'a TcpStream,
     deadline: Rc<ProgressDeadline>,
     applier: &'a Mutex<EventApplier>,
+    silence: &'a dyn OnSilence,
 }
 
 impl Read for TimedStream<'_> {
@@ -135,9 +154,11 @@
         // If the engine has stopped, the next event ends the reading.
         let _ = lock(self.applier).flush();
         loop {
-            let remaining = self.deadline.remaining(Instant::now());
+            let mut remaining = self.deadline.remaining(Instant::now());
             if remaining.is_zero() {
-                return Err(io::Error::new(ErrorKind::TimedOut, "silent"));
+                let patience = self.silence.on_silence();
+                remaining = patience.ok_or_else(|| io::Error::new(ErrorKind::TimedOut, ReadError::Silent))?;
+                self.deadline.set_patience(Instant::now(), remaining);
             }
             self.stream.set_read_timeout(Some(remaining))?;
             match self.stream.read(buffer) {
@@ -158,11 +179,14 @@
     applier: &'a Mutex<EventApplier>,
     pending: PendingEvents,
     deadline: &'a ProgressDeadline,
+    /// The highest number in the answer so far, or the one that was asked from.
+    highest: u64,
 }
 
 impl EventReceiver for OrderedReceiver<'_> {
     fn receive(&mut self, event: NumberedEvent) -> ControlFlow<()> {
         self.deadline.on_event(Instant::now());
+        self.highest = self.highest.max(event.number);
         let mut applier = lock(self.applier);
         if event.number <= applier.last_event() {
             return ControlFlow::Continue(());
@@ -176,7 +200,16 @@
     }
 }
 
-impl OrderedReceiver<'_> {
+impl<'a> OrderedReceiver<'a> {
+    /// A receiver for the answer to a request for the events after `asked_from`.
+    fn new(
+        applier: &'a Mutex<EventApplier>,
+        deadline: &'a ProgressDeadline,
+        asked_from: u64,
+    ) -> OrderedReceiver<'a> {
+        OrderedReceiver { applier, pending: PendingEvents::default(), deadline, highest: asked_from }
+    }
+
     /// Applies the rest of an answer that is complete. `offset` is the number of the last event that the bus has.
     fn finish(&mut self, offset: u64) -> ControlFlow<()> {
         let mut applier = lock(self.applier);
@@ -193,10 +226,10 @@
 
     /// Skips an event that is too long to be read: it would be sent again in each answer, and hold up all later ones.
     fn skip_unreadable_event(&self) {
-        // Where events are pending, an earlier one may follow the unreadable one.
-        if self.pending.is_empty() {
-            let mut applier = lock(self.applier);
-            let number = applier.last_event() + 1;
+        let number = self.highest + 1;
+        let mut applier = lock(self.applier);
+        // Where events are pending, an earlier one may follow the unreadable one; and another connection may have gone on.
+        if self.pending.is_empty() && applier.last_event() + 1 == number {
             eprintln!("bus: event {number} can't be used: longer than {MAX_EVENT_BYTES} bytes");
             applier.advance_to(number);
         }
--- a/front/src/client/bus/answer/tests.rs
+++ b/front/src/client/bus/answer/tests.rs
@@ -32,8 +32,7 @@
     /// Reads an answer as it would come over a connection.
     fn read(&self, text: &str) -> Result<(), BatchError> {
         let deadline = ProgressDeadline::after_request(Instant::now());
-        let pending = PendingEvents::default();
-        let mut receiver = OrderedReceiver { applier: &self.applier, pending, deadline: &deadline };
+        let mut receiver = OrderedReceiver::new(&self.applier, &deadline, self.last_event());
         match read_batch(Cursor::new(text), MAX_EVENT_BYTES, &mut receiver) {
             Ok(offset) => {
                 assert!(receiver.finish(offset).is_continue());
@@ -117,3 +116,12 @@
     scene.read(&batch(&[ban(3)], 3)).unwrap();
     assert_eq!((scene.applied(), scene.last_event()), (vec![3], 3));
 }
+
+#[test]
+fn an_event_that_is_too_long_on_two_connections_is_skipped_once() {
+    let scene = Scene::new();
+    let deadline = ProgressDeadline::after_request(Instant::now());
+    let receivers = [0, 0].map(|asked_from| OrderedReceiver::new(&scene.applier, &deadline, asked_from));
+    receivers.iter().for_each(OrderedReceiver::skip_unreadable_event);
+    assert_eq!(scene.last_event(), 1);
+}
--- a/front/src/client/bus/deadline.rs
+++ b/front/src/client/bus/deadline.rs
@@ -21,22 +21,40 @@
     next_byte: Cell<Instant>,
     /// The deadline for the end of the current event; `None` before the first byte of an answer.
     event_end: Cell<Option<Instant>>,
+    /// Replaces all other limits once the connection is the patient one: the time for each event.
+    patience: Cell<Option<Duration>>,
 }
 
 impl ProgressDeadline {
     /// The deadline for the answer to a request that is written now.
     pub fn after_request(now: Instant) -> ProgressDeadline {
-        ProgressDeadline { next_byte: Cell::new(now + FIRST_BYTE_TIMEOUT), event_end: Cell::new(None) }
+        ProgressDeadline {
+            next_byte: Cell::new(now + FIRST_BYTE_TIMEOUT),
+            event_end: Cell::new(None),
+            patience: Cell::new(None),
+        }
+    }
+
+    /// From now on only this limits the time for each event, however its bytes are spread over it.
+    pub fn set_patience(&self, now: Instant, patience: Duration) {
+        self.patience.set(Some(patience));
+        self.next_byte.set(now + patience);
     }
 
     /// Another request is written.
     pub fn on_request(&self, now: Instant) {
+        if let Some(patience) = self.patience.get() {
+            return self.next_byte.set(now + patience);
+        }
         self.next_byte.set(now + FIRST_BYTE_TIMEOUT);
         self.event_end.set(None);
     }
 
     /// Bytes have arrived.
     pub fn on_bytes(&self, now: Instant) {
+        if self.patience.get().is_some() {
+            return;
+        }
         let event_end = self.event_end.get().unwrap_or(now + EVENT_TIMEOUT);
         self.event_end.set(Some(event_end));
         self.next_byte.set(event_end.min(now + STALL_TIMEOUT));
@@ -44,6 +62,9 @@
 
     /// An event is complete.
     pub fn on_event(&self, now: Instant) {
+        if let Some(patience) = self.patience.get() {
+            return self.next_byte.set(now + patience);
+        }
         self.event_end.set(Some(now + EVENT_TIMEOUT));
         self.next_byte.set(now + STALL_TIMEOUT);
     }
--- a/front/src/client/bus/deadline/tests.rs
+++ b/front/src/client/bus/deadline/tests.rs
@@ -36,3 +36,16 @@
     deadline.on_request(now);
     assert_eq!(deadline.remaining(now), FIRST_BYTE_TIMEOUT);
 }
+
+#[test]
+fn a_patient_connection_is_limited_by_event_alone() {
+    let start = Instant::now();
+    let deadline = ProgressDeadline::after_request(start);
+    let patience = Duration::from_secs(60);
+    deadline.set_patience(start, patience);
+    deadline.on_bytes(start + patience / 2);
+    assert_eq!(deadline.remaining(start + patience / 2), patience / 2);
+    assert_eq!(deadline.remaining(start + patience), Duration::ZERO);
+    deadline.on_event(start + patience);
+    assert_eq!(deadline.remaining(start + patience), patience);
+}
--- a/front/src/lifecycle/serve.rs
+++ b/front/src/lifecycle/serve.rs
@@ -60,7 +60,14 @@
     let at = listener.local_addr().map_err(|e| e.to_string())?;
 
     // The initial member list is applied before the first request can arrive.
-    let follower = BusFollower::new(config.names.clone(), inputs.clone(), counters.clone(), config.seed);
+    let bus = Arc::new(BusAddress::new(config.bus));
+    let follower = Arc::new(BusFollower::new(
+        config.names.clone(),
+        inputs.clone(),
+        bus.clone(),
+        counters.clone(),
+        config.seed,
+    ));
     let pool = Pool::new(config.pool, inputs.clone(), counters.clone());
     let names = config.classes.iter().map(|c| c.name.clone()).collect();
     let engine =
@@ -74,9 +81,7 @@
     let stopped = start_engine(engine, events)?;
     follower.apply_known(std::mem::take(&mut config.known)).map_err(|e| e.to_string())?;
     let longest = Longest::new(config.longest_deadline);
-    let bus = Arc::new(BusAddress::new(config.bus));
-    let followed = bus.clone();
-    spawn_at_start("bus", move || follower.follow(&followed)).map_err(|e| format!("bus thread: {e}"))?;
+    follower.start().map_err(|e| format!("bus thread: {e}"))?;
 
     let bodies = Budget::new(config.memory / REQUEST_MEMORY_DIVISOR);
     let intake = Arc::new(Intake::new(config.classes.clone(), bodies, inputs.clone(), counters.clone()));
--- a/front/tests/discovery.rs
+++ b/front/tests/discovery.rs
@@ -97,6 +97,7 @@
 #[rstest]
 #[case::a_low_rate(2000, LinkFaults { bytes_per_second: 200_000, max_piece: 10_000, ..LinkFaults::default() })]
 #[case::a_pause_of_a_second_between_pieces(1000, LinkFaults { bytes_per_second: 64_000, max_piece: 64_000, ..LinkFaults::default() })]
+#[case::two_seconds_to_the_first_byte(1, LinkFaults { delay: Duration::from_millis(1000), ..LinkFaults::default() })]
 fn a_slow_answer_of_the_bus_is_heard(#[case] changes: usize, #[case] faults: LinkFaults) {
     let scene = Scene::start();
     assert!(!scene.is_purge_heeded());
