Control socket: a plan that is made of valid files is taken whatever its size

Callers saw: `elmtide apply` of a plan with 30,000 shops failed ("Broken pipe") at every try, though a cells file may have 16 MiB and 100,000 shops.

Cause: the running program read at most 1 MiB of a request, and the rest of the plan could never arrive.

Change: the bound follows from those of the two files, 40 MiB.

Test: cells.rs `a_plan_with_many_shops_is_applied`, seen failing before ("control.sock: Broken pipe (os error 32)").

--- a/front/src/edge/cells.rs
+++ b/front/src/edge/cells.rs
@@ -12,7 +12,7 @@
 /// Default path of the file.
 pub const FILE: &str = "deploy/cells.toml";
 /// Maximum size of the file.
-const MAX_FILE_BYTES: u64 = 16 << 20;
+pub const MAX_FILE_BYTES: u64 = 16 << 20;
 /// Maximum number of different shards: together with 64 cells, each still gets its own router.
 const MAX_SHARDS: usize = 60;
 
--- a/front/src/edge/config.rs
+++ b/front/src/edge/config.rs
@@ -26,7 +26,7 @@
 /// Maximum number of upstream names.
 const MAX_UPSTREAMS: usize = 64;
 /// Maximum size of the file.
-const MAX_FILE_BYTES: u64 = 4 << 20;
+pub const MAX_FILE_BYTES: u64 = 4 << 20;
 /// Default number of threads that answer over UDP, for each address.
 const DEFAULT_UDP_THREADS: usize = 1;
 
--- a/front/src/lifecycle/control.rs
+++ b/front/src/lifecycle/control.rs
@@ -9,8 +9,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::edge::cells::CellsConfig;
-use crate::edge::config::EdgeConfig;
+use crate::edge::cells::{self, CellsConfig};
+use crate::edge::config::{self, EdgeConfig};
 use crate::edge::plan::Plan;
 use crate::lifecycle::cells::CellsInForce;
 use crate::lifecycle::edge::Edge;
@@ -20,7 +20,9 @@
 use crate::process::transient::retry_at_start;
 
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
-const MAX_REQUEST_BYTES: u64 = 1 << 20;
+/// Every plan that is made of valid files must fit: as JSON, with what the files leave at its default, they take up to twice
+/// their size. A plan that is refused for its length is refused at every try.
+const MAX_REQUEST_BYTES: u64 = 2 * (config::MAX_FILE_BYTES + cells::MAX_FILE_BYTES);
 
 /// A request to the running program.
 #[derive(Debug, Serialize, Deserialize)]
--- a/front/tests/cells.rs
+++ b/front/tests/cells.rs
@@ -405,3 +405,18 @@
     let (code, said) = fleet.front.run(&["apply", "--control", "control.sock", "q.json"]).unwrap();
     assert!(code == Some(1) && said.contains("other cells"), "{said}");
 }
+
+/// A plan whose cells have more shops than fit in 1 MiB was refused at each try, though its file is within the limits.
+#[test]
+fn a_plan_with_many_shops_is_applied() {
+    let fleet = Fleet::new(&file(&[], ""));
+    let names: Vec<String> = (0..30_000).map(|n| format!("shop-{n:08}")).collect();
+    let shops: Vec<(&str, &str)> = names.iter().map(|name| (name.as_str(), "b")).collect();
+    // The plan prints a line for each shop; the last one says what went wrong.
+    let applied = fleet.front.apply_cells(&file(&shops, ""));
+    assert!(applied.is_ok(), "{:?}", applied.err().and_then(|said| said.lines().last().map(str::to_owned)));
+    fleet.front.log.wait("cells: 3 are in force", 1).unwrap();
+    let from = Instant::now();
+    assert_eq!(ask(&mut fleet.client(), 1, "shop-00029999"), 200);
+    assert_eq!(fleet.cells_asked(from), BTreeSet::from([1]));
+}
