Fleet socket: a burst of one front is deferred to later calls and not cut

Change: up to a whole message (410 datagrams) of each of eight senders is deferred to the next calls, 64 a call as before, so that no sender takes the thread for itself. What is beyond that is dropped and counted as before (`Crowded`).

Tests: `the_largest_message_is_received_whole_and_in_order_while_the_thread_does_not_read`, seen failing without the deferral. `one_sender_cannot_take_up_a_whole_receive_call` asked that the rest is dropped and counted, which is the fault: it keeps its bound on the first call and asks that the rest comes with the next one; that memory is bounded is asked of the deferred datagrams.

--- a/core/fleet/src/datagram.rs
+++ b/core/fleet/src/datagram.rs
@@ -24,6 +24,8 @@
 const MAX_FRAGMENT_BYTES: usize = 1280;
 /// Maximum size of an encoded message, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 512 << 10;
+/// Maximum number of datagrams of one message.
+pub const MAX_DATAGRAMS_PER_MESSAGE: usize = MAX_MESSAGE_BYTES.div_ceil(MAX_FRAGMENT_BYTES);
 /// Maximum total size of the messages that are being reassembled, in bytes, for all peers together.
 const MAX_REASSEMBLY_BYTES: usize = 8 << 20;
 const MAGIC_BYTE: u8 = 0xE7;
@@ -228,8 +230,7 @@
         fragment: Fragment,
         payload: &[u8],
     ) -> Result<Option<Vec<u8>>, DropReason> {
-        let max_fragments = MAX_MESSAGE_BYTES.div_ceil(MAX_FRAGMENT_BYTES);
-        if !fragment.is_valid(max_fragments) || payload.len() > MAX_FRAGMENT_BYTES {
+        if !fragment.is_valid(MAX_DATAGRAMS_PER_MESSAGE) || payload.len() > MAX_FRAGMENT_BYTES {
             return Err(DropReason::Undecodable);
         }
         let Some(peer) = self.peers.get_mut(&from) else { return Ok(None) };
--- a/front/src/fleet/datagram_socket.rs
+++ b/front/src/fleet/datagram_socket.rs
@@ -1,8 +1,11 @@
 //! The fleet's socket. It receives datagrams of the other fronts, and whatever else is sent to it.
 //!
 //! Invariant: one call of [`FleetSocket::receive`] returns at most [`MAX_PER_SENDER`] datagrams of a sender from the
-//! shared queue, and a flooding sender fills only a queue of its own ([`DatagramListener`]). Which senders are fronts
-//! of the fleet is decided later, by the datagram's MAC.
+//! shared queue, and a flooding sender fills only a queue of its own ([`DatagramListener`]). Further datagrams of a sender
+//! are deferred to later calls, up to a whole message: a message whose last datagrams were dropped would be sent again and
+//! lose the same ones. Which senders are fronts of the fleet is decided later, by the datagram's MAC.
+
+mod deferred;
 
 use std::collections::HashMap;
 use std::io;
@@ -13,6 +16,7 @@
 
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 
+use self::deferred::DeferredDatagrams;
 use crate::fleet_link::Waker;
 use crate::process::backoff::Backoff;
 use crate::process::clock;
@@ -38,6 +42,7 @@
     backoff: Backoff,
     /// After a failed read, the time until which nothing is read.
     resume_at: Option<Instant>,
+    deferred: DeferredDatagrams,
     /// See [`FleetSocket::over_limit`].
     over_limit: u64,
 }
@@ -58,6 +63,7 @@
             counters,
             backoff: Backoff::new(FAILED_RECEIVE_PAUSE.0, FAILED_RECEIVE_PAUSE.1),
             resume_at: None,
+            deferred: DeferredDatagrams::default(),
             over_limit: 0,
         })
     }
@@ -78,13 +84,16 @@
         Waker::new(&self.listener.shared, self.local_addr()?)
     }
 
-    /// Number of datagrams that were dropped unread because they exceeded [`MAX_PER_SENDER`].
+    /// Number of datagrams that were dropped because more of their sender were deferred than a message has.
     pub fn over_limit(&self) -> u64 {
         self.over_limit
     }
 
     /// Waits until a datagram can be read, for at most `timeout`.
     pub fn wait(&self, timeout: Duration) {
+        if !self.deferred.is_empty() {
+            return;
+        }
         if let Some(resume_at) = self.resume_at {
             return std::thread::sleep(timeout.min(resume_at.saturating_duration_since(Instant::now())));
         }
@@ -100,7 +109,8 @@
         self.release_timer.release_if_due(&self.listener.isolated, clock::steady_ms());
         let mut datagrams = Vec::new();
         let mut buffer = [0; RECEIVE_BUFFER_BYTES];
-        self.receive_shared(&mut buffer, &mut datagrams);
+        let by_sender = self.deferred.release(MAX_PER_SENDER, &mut datagrams);
+        self.receive_shared(&mut buffer, by_sender, &mut datagrams);
         let mut isolated = 0;
         self.listener.isolated.receive(&mut buffer, |_, bytes, _| {
             isolated += 1;
@@ -110,13 +120,18 @@
         datagrams
     }
 
-    fn receive_shared(&mut self, buffer: &mut [u8], datagrams: &mut Vec<Vec<u8>>) {
+    /// Reads the shared queue. `by_sender` counts the datagrams that this call returns of each sender.
+    fn receive_shared(
+        &mut self,
+        buffer: &mut [u8],
+        mut by_sender: HashMap<SocketAddr, usize>,
+        datagrams: &mut Vec<Vec<u8>>,
+    ) {
         if self.resume_at.is_some_and(|at| at > Instant::now()) {
             return;
         }
         self.resume_at = None;
         let now = clock::steady_ms();
-        let mut by_sender: HashMap<SocketAddr, usize> = HashMap::new();
         for _ in 0..MAX_PER_CALL {
             let (length, from) = match self.listener.shared.recv_from(buffer) {
                 Ok(received) => received,
@@ -134,10 +149,10 @@
             self.counters.isolations.fetch_add(isolated as u64, Relaxed);
             let count = by_sender.entry(from).or_default();
             *count += 1;
-            if *count > MAX_PER_SENDER {
-                self.over_limit += 1;
-            } else {
+            if *count <= MAX_PER_SENDER {
                 datagrams.push(buffer[..length].to_vec());
+            } else if !self.deferred.defer(from, &buffer[..length]) {
+                self.over_limit += 1;
             }
         }
     }
