--- a/core/budgets/src/lib.rs
+++ b/core/budgets/src/lib.rs
@@ -37,9 +37,9 @@
 pub mod state;
 
 pub use allocator::LeaseAllocator;
-pub use command::{BudgetCommand, CommandRejected, ConfirmedReduction, MinimumRule};
+pub use command::{BudgetCommand, CommandRejected, ConfirmedReduction, MinimumRule, MAX_FRONTS};
 pub use ids::{BudgetId, BudgetKind, Epoch, FrontId, HolderId, Incarnation, SpendingModel};
-pub use lease::{Demand, Grant, GuaranteedMinimums, LeaseRequest, LeaseResponse};
+pub use lease::{Demand, Grant, GuaranteedMinimums, LeaseRequest, LeaseResponse, MAX_BUDGETS_PER_LEASE};
 pub use lease_holder::LeaseHolder;
 pub use ledger::{PermitSource, Priority, QuotaLedger, TotalLimit};
 pub use settings::{Clocks, LeaseSettings};
--- a/core/fleet/src/datagram.rs
+++ b/core/fleet/src/datagram.rs
@@ -2,17 +2,18 @@
 //! accepted once.
 //!
 //! The length is checked first, then the version, then the MAC; nothing is decoded before. A message that does not fit
-//! in one datagram is fragmented. For each peer, one message is reassembled at a time.
+//! in one datagram is fragmented. For each peer, one message is reassembled at a time. A long message that is encoded again
+//! keeps its number, so that what has arrived of it counts: a retry completes it even if each try loses some fragments.
 
 mod fragments;
 mod replay;
 
 use std::collections::BTreeMap;
 
-use elmtide_budgets::FrontId;
+use elmtide_budgets::{FrontId, MAX_BUDGETS_PER_LEASE, MAX_FRONTS};
 use hmac::{Hmac, KeyInit, Mac};
 use serde::{Deserialize, Serialize};
-use sha2::Sha256;
+use sha2::{Digest as _, Sha256};
 
 use crate::message::PeerMessage;
 use fragments::{Fragment, Reassembly};
@@ -22,8 +23,11 @@
 pub const MAX_DATAGRAM_BYTES: usize = 1432;
 /// Maximum size of the payload of one datagram, in bytes.
 const MAX_FRAGMENT_BYTES: usize = 1280;
-/// Maximum size of an encoded message, in bytes.
-pub const MAX_MESSAGE_BYTES: usize = 512 << 10;
+/// Bound on the encoded size of one quota in a snapshot, in bytes: a budget's id, two amounts and an epoch.
+const QUOTA_BYTES: usize = 32;
+/// Maximum size of an encoded message, in bytes. A snapshot of the largest fleet must fit, or a voter that needs it never
+/// gets it.
+pub const MAX_MESSAGE_BYTES: usize = MAX_FRONTS * MAX_BUDGETS_PER_LEASE * QUOTA_BYTES;
 /// Maximum number of datagrams of one message.
 pub const MAX_DATAGRAMS_PER_MESSAGE: usize = MAX_MESSAGE_BYTES.div_ceil(MAX_FRAGMENT_BYTES);
 /// Maximum total size of the messages that are being reassembled, in bytes, for all peers together.
@@ -53,6 +57,8 @@
     Replayed,
     /// The MAC is correct, but the content can't be decoded.
     Undecodable,
+    /// A message of this front was not sent, because it is longer than [`MAX_MESSAGE_BYTES`].
+    NotSent,
 }
 
 impl DropReason {
@@ -65,6 +71,7 @@
             DropReason::WrongFront => "Elsewhere",
             DropReason::Replayed => "Replayed",
             DropReason::Undecodable => "Unread",
+            DropReason::NotSent => "TooLong",
         }
     }
 }
@@ -93,6 +100,15 @@
     }
 }
 
+/// The last message to a front that was longer than one datagram.
+struct LongMessage {
+    number: u32,
+    digest: Digest,
+}
+
+/// SHA-256 of an encoded message.
+type Digest = [u8; 32];
+
 /// Encodes and decodes the datagrams of one incarnation of a front.
 pub struct DatagramCodec {
     /// Initialized with the key and the installation's name.
@@ -101,6 +117,8 @@
     incarnation: u64,
     counter: u64,
     next_message: u32,
+    /// The last long message to each front.
+    last_long: BTreeMap<FrontId, LongMessage>,
     /// All configured fronts except the own one.
     peers: BTreeMap<FrontId, PeerState>,
     /// Number of dropped datagrams by reason.
@@ -127,6 +145,7 @@
             incarnation,
             counter: 0,
             next_message: 1,
+            last_long: BTreeMap::new(),
             peers: peers.collect(),
             dropped: BTreeMap::new(),
         }
@@ -149,20 +168,33 @@
     pub fn encode(&mut self, to: FrontId, message: &PeerMessage) -> Vec<Vec<u8>> {
         let Ok(bytes) = postcard::to_allocvec(message) else { return Vec::new() };
         if bytes.len() > MAX_MESSAGE_BYTES {
+            *self.dropped.entry(DropReason::NotSent).or_default() += 1;
             return Vec::new();
         }
-        let count = bytes.len().div_ceil(MAX_FRAGMENT_BYTES).max(1);
-        let message = self.next_message;
+        let number = self.next_message;
         self.next_message = self.next_message.wrapping_add(1);
-        let fragment = |index: usize| Fragment { message, index: index as u16, count: count as u16 };
+        if bytes.len() <= MAX_FRAGMENT_BYTES {
+            return self.encode_datagram(to, None, &bytes).into_iter().collect();
+        }
+        let message = self.number_of_long(to, &bytes, number);
+        let count = bytes.len().div_ceil(MAX_FRAGMENT_BYTES) as u16;
+        let fragment = |index: usize| Fragment { message, index: index as u16, count };
         let payloads = bytes.chunks(MAX_FRAGMENT_BYTES).enumerate();
         payloads
-            .filter_map(|(index, payload)| {
-                self.encode_datagram(to, (count > 1).then(|| fragment(index)), payload)
-            })
+            .filter_map(|(index, payload)| self.encode_datagram(to, Some(fragment(index)), payload))
             .collect()
     }
 
+    /// The number of a long message: that of the last one to this front, if it is the same, else `number`.
+    fn number_of_long(&mut self, to: FrontId, bytes: &[u8], number: u32) -> u32 {
+        let digest: Digest = Sha256::digest(bytes).into();
+        if let Some(last) = self.last_long.get(&to).filter(|last| last.digest == digest) {
+            return last.number;
+        }
+        self.last_long.insert(to, LongMessage { number, digest });
+        number
+    }
+
     fn encode_datagram(
         &mut self,
         to: FrontId,
--- a/core/fleet/tests/datagrams.rs
+++ b/core/fleet/tests/datagrams.rs
@@ -1,10 +1,13 @@
 //! Encoding and decoding of datagrams that arrive repeatedly, late, out of order, forged or corrupted.
 
-use elmtide_budgets::FrontId;
+use elmtide_budgets::{
+    BudgetCommand, BudgetId, BudgetKind, FrontId, HolderId, Incarnation, MAX_BUDGETS_PER_LEASE,
+};
+use elmtide_consensus::StateMachine;
 use elmtide_fleet::datagram::{
     peek, PeekedDatagram, PeekedKind, MAX_DATAGRAM_BYTES, MAX_MESSAGE_BYTES, VERSION,
 };
-use elmtide_fleet::{DatagramCodec, DropReason, PeerMessage};
+use elmtide_fleet::{AgreedCommand, AgreedState, DatagramCodec, DropReason, PeerMessage};
 use proptest::prelude::*;
 
 /// Number of counters, up to the highest, that are still accepted.
@@ -95,6 +98,51 @@
     assert!(front_1.encode(FrontId(2), &PeerMessage::Gossip(vec![0; MAX_MESSAGE_BYTES])).is_empty());
 }
 
+/// Each try had a number of its own, and what had arrived of the one before was thrown away.
+#[test]
+fn a_long_message_that_loses_other_fragments_at_each_try_arrives() {
+    let (mut front_1, mut front_2) = codec_pair();
+    let message = PeerMessage::Gossip((0..100_000u32).map(|n| n as u8).collect());
+    let mut decoded = Vec::new();
+    for lost in 0..2 {
+        let sent = front_1.encode(FrontId(2), &message);
+        let arrived = sent.iter().enumerate().filter(|(index, _)| index % 2 != lost);
+        decoded.extend(arrived.filter_map(|(_, datagram)| front_2.decode(datagram)));
+    }
+    assert_eq!(decoded, [(FrontId(1), message.clone())]);
+    // Another message of the same length is not mixed with it.
+    let halves = [0, 1].map(|part| {
+        let other = PeerMessage::Gossip((part..100_000 + part).map(|n| n as u8).collect());
+        let sent = front_1.encode(FrontId(2), &other);
+        sent.into_iter().enumerate().filter(move |(index, _)| index % 2 == part as usize)
+    });
+    assert!(halves.into_iter().flatten().all(|(_, datagram)| front_2.decode(&datagram).is_none()));
+}
+
+/// A longer snapshot was not sent at all, without a word, each time that a voter needed it.
+#[test]
+fn a_snapshot_of_the_largest_fleet_is_sent_and_a_longer_message_is_counted() {
+    const FRONTS: u64 = 900;
+    let mut state = AgreedState::default();
+    let mut apply = |command| assert!(state.apply(&AgreedCommand::Budgets(command)).is_done());
+    let fronts: Vec<FrontId> = (1..=FRONTS).map(|n| FrontId(n << 50)).collect();
+    apply(BudgetCommand::UpdateFronts { version: 1, fronts: fronts.clone(), minimums: vec![], lease: 1 });
+    for front in fronts {
+        let holder = HolderId { front, incarnation: Incarnation(1 << 40) };
+        apply(BudgetCommand::Join { holder });
+        let budget = |n: u64| BudgetId { kind: BudgetKind::ShopRate, resource: n << 56 };
+        let changes = (1..=MAX_BUDGETS_PER_LEASE as u64).map(|n| (holder, budget(n), 1000));
+        apply(BudgetCommand::Allocate { changes: changes.collect() });
+    }
+    let (mut front_1, mut front_2) = codec_pair();
+    let message = PeerMessage::Gossip(state.snapshot());
+    let sent = front_1.encode(FrontId(2), &message);
+    let decoded: Vec<_> = sent.iter().filter_map(|datagram| front_2.decode(datagram)).collect();
+    assert!(decoded == [(FrontId(1), message)], "{} datagrams", sent.len());
+    assert!(front_1.encode(FrontId(2), &PeerMessage::Gossip(vec![0; MAX_MESSAGE_BYTES])).is_empty());
+    assert_eq!(front_1.dropped[&DropReason::NotSent], 1);
+}
+
 proptest! {
     #[test]
     fn random_or_corrupted_bytes_are_never_decoded_to_a_message(
