Resolver: a slow server is waited for as long as it takes, up to 2.4 s

Callers saw: where a name's resolver takes over 0.3 s for each answer, its addresses stayed as they were and drains told by the name were not heeded.

Change: the time for an answer doubles with each question without one and follows the measured round trip; a lookup takes longer in proportion where all servers are slow. When another server is asked has not changed, nor has anything for servers that answer in 0.3 s. A question over TCP has the time that is left of its own.

Test: `a_slow_server_is_heard` (0.35 to 2.3 s, alone, two, beside a silent one), seen failing before at 350 ms.

--- a/dns/src/stub/resolver.rs
+++ b/dns/src/stub/resolver.rs
@@ -24,9 +24,9 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limits {
-    /// A lookup ends after so long, whatever has come of it.
+    /// A lookup ends after so long, whatever has come of it; later, in proportion, where all servers are slow.
     pub patience: Ms,
-    /// A question is given up after so long at most.
+    /// A question is given up after so long, or later where its server is known to be slow.
     pub silence: Ms,
     /// A second server is asked no sooner than this after the first.
     pub second: Ms,
@@ -47,6 +47,10 @@
 const FORGERIES: u32 = 16;
 /// Questions of one lookup.
 const ASKS: u32 = 6;
+/// How often the time for an answer doubles at most, once for each question without an answer (RFC 6298, section 5.5). The
+/// same question is asked again: a server that is slower than a fixed limit would never be heard. With the default limits
+/// an answer is waited for up to 2.4 s; a longer wait would put off the next question to a server that is back.
+const MAX_DOUBLINGS: u32 = 3;
 
 /// Why a lookup has come to nothing.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -90,6 +94,8 @@
         ask: AskId,
         to: SocketAddr,
         bytes: Vec<u8>,
+        /// A later answer is not waited for.
+        within: Ms,
     },
     /// Nothing is expected for this question any more: its socket can go.
     Forget(AskId),
@@ -105,6 +111,8 @@
     /// Smoothed round-trip time and its deviation (RFC 6298); none before the first answer.
     rtt: Option<(Ms, Ms)>,
     failures: u32,
+    /// Questions in a row that had no answer in time.
+    unanswered: u32,
     rest_until: Ms,
     /// The cookie to send, its server's part included once that is known.
     cookie: Vec<u8>,
@@ -119,8 +127,15 @@
             .min(limits.silence)
     }
 
+    /// How long an answer is waited for, while others are asked after [`Server::time_out`].
+    fn longest_wait(&self, limits: &Limits) -> Ms {
+        let doubled = limits.silence * 2f64.powi(self.unanswered.min(MAX_DOUBLINGS) as i32);
+        let expected = self.rtt.map_or(0.0, |(mean, dev)| mean + 4.0 * dev);
+        doubled.max(expected).min(limits.silence * 2f64.powi(MAX_DOUBLINGS as i32))
+    }
+
     fn answered(&mut self, took: Ms) {
-        (self.failures, self.rest_until) = (0, 0.0);
+        (self.failures, self.unanswered, self.rest_until) = (0, 0, 0.0);
         self.rtt = Some(match self.rtt {
             None => (took, took / 2.0),
             Some((mean, dev)) => (mean + (took - mean) / 8.0, dev + ((took - mean).abs() - dev) / 4.0),
@@ -192,6 +207,7 @@
             at: *at,
             rtt: None,
             failures: 0,
+            unanswered: 0,
             rest_until: 0.0,
             cookie: client_cookie(&key, *at),
             plain_until: 0.0,
@@ -211,6 +227,12 @@
         }
     }
 
+    /// How long a lookup may take: longer where even the fastest server is slow.
+    fn lookup_patience(&self) -> Ms {
+        let waits = self.servers.iter().map(|server| server.longest_wait(&self.limits));
+        self.limits.patience * waits.fold(f64::INFINITY, f64::min) / self.limits.silence
+    }
+
     fn fresh(&mut self) -> u64 {
         self.next += 1;
         self.next
@@ -234,7 +256,7 @@
             kind,
             ttl: u32::MAX,
             aliases: Vec::new(),
-            until: self.now + self.limits.patience,
+            until: self.now + self.lookup_patience(),
             asked: 0,
             tried: Vec::new(),
             last: Failure::Silent,
@@ -366,7 +388,11 @@
     fn gave_nothing(&mut self, ask: AskId, why: Failure) {
         let Some(asked) = self.asks.get(&ask) else { return };
         let (lookup, server) = (asked.lookup, asked.server);
-        self.servers[usize::from(server.0)].failed(self.now, &self.limits);
+        let state = &mut self.servers[usize::from(server.0)];
+        state.failed(self.now, &self.limits);
+        if why == Failure::Silent {
+            state.unanswered = state.unanswered.saturating_add(1);
+        }
         self.drop_ask(ask);
         let Some(wanted) = self.lookups.get_mut(&lookup) else { return };
         wanted.last = why;
@@ -423,7 +449,7 @@
         lookup.asked += 1;
         lookup.tried.push(server);
         lookup.second_at = self.now + wait;
-        let until = (self.now + self.limits.silence).min(lookup.until);
+        let until = (self.now + state.longest_wait(&self.limits)).min(lookup.until);
         let to = state.at;
         self.asks.insert(
             ask,
@@ -441,7 +467,7 @@
         );
         self.out.push_back(match way {
             Way::Udp => Output::Udp { ask, to, bytes },
-            Way::Tcp => Output::Tcp { ask, to, bytes },
+            Way::Tcp => Output::Tcp { ask, to, bytes, within: until - self.now },
         });
     }
 
--- a/dns/tests/stub.rs
+++ b/dns/tests/stub.rs
@@ -58,7 +58,7 @@
     while let Some(output) = resolver.poll() {
         match output {
             Output::Udp { ask, to, bytes } => out.udp.push((ask, to, bytes)),
-            Output::Tcp { ask, to, bytes } => out.tcp.push((ask, to, bytes)),
+            Output::Tcp { ask, to, bytes, .. } => out.tcp.push((ask, to, bytes)),
             Output::Forget(_) => {}
             Output::Done { result, .. } => out.done.push(result),
         }
@@ -219,6 +219,55 @@
     assert!(now <= 900.0 && asked <= 6, "{asked} questions, {now} ms");
 }
 
+/// Servers that take the same time for each answer, of the others that are silent: how many of ten lookups have an answer.
+fn lookups_answered(slow: &[u8], silent: &[u8], takes: f64) -> usize {
+    let servers: Vec<SocketAddr> = slow.iter().chain(silent).map(|n| server(*n)).collect();
+    let mut resolver = Resolver::new(&servers, Limits::default(), 7);
+    let mut now = 0.0;
+    let mut answered = 0;
+    for _ in 0..10 {
+        now += 1000.0;
+        resolver.lookup(&wire("boxes.test."), Type::A, now);
+        let mut replies: Vec<(f64, AskId, Vec<u8>)> = Vec::new();
+        loop {
+            let out = out(&mut resolver);
+            for (ask, to, query) in out.udp {
+                if slow.iter().any(|n| server(*n) == to) {
+                    let reply = bytes(&query, &reply(&query, &[("boxes.test.", 30, a(1))]));
+                    replies.push((now + takes, ask, reply));
+                }
+            }
+            if let Some(done) = out.done.first() {
+                answered += usize::from(done.is_ok());
+                break;
+            }
+            let reply = replies.iter().map(|r| r.0).fold(f64::INFINITY, f64::min);
+            let due = resolver.due().expect("something is due");
+            now = now.max(reply.min(due));
+            replies.retain(|(at, ask, bytes)| {
+                let has_come = *at <= now;
+                if has_come {
+                    resolver.datagram(*ask, bytes, now);
+                }
+                !has_come
+            });
+            resolver.tick(now);
+        }
+    }
+    answered
+}
+
+/// A server that takes longer than 0.3 s for each answer was given up each time, and asked again with the same limit.
+#[test]
+fn a_slow_server_is_heard() {
+    assert_eq!(lookups_answered(&[1], &[], 200.0), 10);
+    for takes in [350.0, 800.0, 2000.0, 2300.0] {
+        assert!(lookups_answered(&[1], &[], takes) >= 7, "{takes} ms");
+        assert!(lookups_answered(&[1, 2], &[], takes) >= 7, "{takes} ms, two servers");
+        assert!(lookups_answered(&[1], &[2], takes) >= 5, "{takes} ms beside a silent server");
+    }
+}
+
 /// A failing server sends the question to the next at once; where all fail the last code is told.
 #[test]
 fn failures_go_to_the_next() {
--- a/front/src/client/resolver.rs
+++ b/front/src/client/resolver.rs
@@ -26,8 +26,6 @@
 /// queries are in flight.
 const MAX_WAIT: Duration = Duration::from_millis(100);
 const MAX_WAIT_WITH_TCP: Duration = Duration::from_millis(5);
-/// Timeout of a TCP query for connecting and for each read or write.
-const TCP_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum number of TCP queries in flight.
 const MAX_TCP_QUERIES: usize = 16;
 
@@ -145,7 +143,10 @@
                     Ok(socket) => drop(self.sockets.insert(ask, socket)),
                     Err(_) => self.resolver.unreachable(ask, now),
                 },
-                Output::Tcp { ask, to, bytes } => self.send_tcp(ask, to, bytes, now),
+                Output::Tcp { ask, to, bytes, within } => {
+                    let timeout = Duration::from_secs_f64(within.max(1.0) / 1000.0);
+                    self.send_tcp(ask, to, bytes, timeout, now);
+                }
                 Output::Forget(ask) => drop(self.sockets.remove(&ask)),
                 Output::Done { lookup, result } => {
                     for index in 0..self.followed.len() {
@@ -236,13 +237,13 @@
         self.process_outputs(now);
     }
 
-    fn send_tcp(&mut self, ask: AskId, to: SocketAddr, bytes: Vec<u8>, now: f64) {
+    fn send_tcp(&mut self, ask: AskId, to: SocketAddr, bytes: Vec<u8>, timeout: Duration, now: f64) {
         if self.tcp_in_flight >= MAX_TCP_QUERIES {
             return self.resolver.stream(ask, None, now);
         }
         let results = self.tcp_results.0.clone();
         let run = move || {
-            let message = catch_unwind(|| query_tcp(to, &bytes)).ok().and_then(Result::ok);
+            let message = catch_unwind(|| query_tcp(to, &bytes, timeout)).ok().and_then(Result::ok);
             let _ = results.send((ask, message));
         };
         match spawn("resolver-tcp", run) {
@@ -263,11 +264,12 @@
     Ok(socket)
 }
 
-fn query_tcp(to: SocketAddr, bytes: &[u8]) -> std::io::Result<Vec<u8>> {
-    let mut stream = TcpStream::connect_timeout(&to, TCP_TIMEOUT)?;
+/// `timeout` limits connecting and each read or write.
+fn query_tcp(to: SocketAddr, bytes: &[u8], timeout: Duration) -> std::io::Result<Vec<u8>> {
+    let mut stream = TcpStream::connect_timeout(&to, timeout)?;
     stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(TCP_TIMEOUT))?;
-    stream.set_write_timeout(Some(TCP_TIMEOUT))?;
+    stream.set_read_timeout(Some(timeout))?;
+    stream.set_write_timeout(Some(timeout))?;
     let mut framed = (bytes.len() as u16).to_be_bytes().to_vec();
     framed.extend_from_slice(bytes);
     stream.write_all(&framed)?;
