Soak: draws outages of the bus, slow ways to it and changes that gather, and asks that a purge is heeded

Now a bus stands behind a link; outages, rates, pieces, delays, resets and up to 8,000 changes at a time are drawn, apart from the other faults, so that a seed keeps those.

--- a/front/tests/soak.rs
+++ b/front/tests/soak.rs
@@ -6,6 +6,7 @@
 
 mod common;
 
+use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::ops::Range;
 use std::sync::Arc;
@@ -13,8 +14,9 @@
 
 use common::{call_management, start_managed_with_faults, Program};
 use elmtide_rules::front_drain::{check_answers, check_drain, ClientConnection, Violation};
+use elmtide_standins::bus::{listed, Bus};
 use elmtide_standins::faults::{FailingCalls, Faults};
-use elmtide_standins::node::{runs, Behaviour, Node, Origin};
+use elmtide_standins::node::{runs, Behaviour, Node, Origin, Seen};
 use elmtide_standins::tcp_proxy::{LinkFaults, TcpProxy};
 use elmtide_standins::until;
 use elmtide_standins::web_server::{ConnectionRecord, SendingWebServer, WebServerConnection, Workload};
@@ -24,7 +26,7 @@
 const SEEDS_VARIABLE: &str = "ELMTIDE_SOAK_SEEDS";
 /// Seeds that CI passes over, with commas between them; `.ci/test-runner` sets it from the list of known failures.
 const KNOWN_FAILURES_VARIABLE: &str = "ELMTIDE_SOAK_KNOWN_FAILURES";
-/// What CI plays: about a minute.
+/// What CI plays: under two minutes.
 const DEFAULT_SEEDS: Range<u64> = 1..9;
 /// Runs at a time.
 const PARALLEL_RUNS: u64 = 4;
@@ -37,6 +39,14 @@
 const DRAIN_OBSERVATION: Duration = Duration::from_millis(4150);
 const HOUR_MS: i64 = 3_600_000;
 const CROWD: usize = 450;
+/// The object that web servers of the stand-ins ask for.
+const OBJECT: u64 = 0x7f3a_9c21_e0b4_d655;
+/// What the bus has to tell counts as told so much later at the latest, whether or not it arrived.
+const TOLD_WITHIN: Duration = Duration::from_secs(7);
+/// What follows from a purge is done so much later, with what the platform adds to each limit on sockets.
+const PURGE_SLACK: Duration = Duration::from_millis(1050);
+/// The faults of the bus are drawn apart, so that a seed keeps its other faults.
+const BUS_SEED: u64 = 0x6275_735f_6661_756c;
 
 /// A web server: what it asks, its connection, and those that have ended.
 struct Client {
@@ -79,10 +89,15 @@
         }
     }
 
-    fn observed(&self, epoch: Instant) -> Vec<ClientConnection> {
+    /// All its connections so far.
+    fn records(&self) -> Vec<ConnectionRecord> {
         let now = self.current.iter().map(|c| c.connection().record());
+        self.past.iter().cloned().chain(now).collect()
+    }
+
+    fn observed(&self, epoch: Instant) -> Vec<ClientConnection> {
         let allow_ms = f64::from(self.workload.allow_ms);
-        self.past.iter().cloned().chain(now).map(|record| record.observed_since(epoch, allow_ms)).collect()
+        self.records().into_iter().map(|record| record.observed_since(epoch, allow_ms)).collect()
     }
 }
 
@@ -94,6 +109,68 @@
     breaches: Vec<String>,
 }
 
+/// What a way does, as it is printed with a seed.
+fn shown(faults: &LinkFaults) -> String {
+    let LinkFaults { delay, max_piece, bytes_per_second, is_silent } = faults;
+    format!("delay={},piece={max_piece},rate={bytes_per_second},silent={is_silent}", delay.as_millis())
+}
+
+/// The event bus and the way to it.
+struct BusUnderFaults {
+    random: StdRng,
+    bus: Bus,
+    link: TcpProxy,
+    changes: usize,
+    /// When the last purge was told.
+    purged_at: Option<Instant>,
+}
+
+impl BusUnderFaults {
+    /// A bus at this listener, which knows one cache node.
+    fn start(seed: u64, listener: TcpListener, node: SocketAddr) -> BusUnderFaults {
+        let bus = Bus::start().unwrap();
+        bus.list(true, &[listed("s-1", node, "edge-1", "small", "active")]);
+        let link = TcpProxy::start(listener, bus.at).unwrap();
+        let random = StdRng::seed_from_u64(seed ^ BUS_SEED);
+        BusUnderFaults { random, bus, link, changes: 0, purged_at: None }
+    }
+
+    /// Draws changes that gather, and an outage, a slow way or the end of either.
+    fn inject(&mut self) -> String {
+        let changes = [0, 100, 8000][self.random.random_range(0..3)];
+        self.add_changes(changes);
+        let faults = LinkFaults {
+            delay: Duration::from_millis([0, 0, 700, 1500][self.random.random_range(0..4)]),
+            max_piece: [100, 10_000, 64_000][self.random.random_range(0..3)],
+            bytes_per_second: [0, 0, 100_000, 1_000_000][self.random.random_range(0..4)],
+            is_silent: self.random.random_bool(0.4),
+        };
+        self.link.set(faults);
+        let is_reset = self.random.random_bool(0.3);
+        if is_reset {
+            self.link.reset_all();
+        }
+        format!("bus(changes={changes},{},reset={is_reset})", shown(&faults))
+    }
+
+    /// Servers of other locations leave the list, an event each.
+    fn add_changes(&mut self, count: usize) {
+        let at = "127.0.0.1:9".parse().unwrap();
+        for _ in 0..count {
+            let name = format!("far-{:08}", self.changes);
+            self.bus.list(false, &[listed(&name, at, "east", "small", "left")]);
+            self.changes += 1;
+        }
+    }
+
+    /// The bus is well again, and tells of a purge.
+    fn recover_and_purge(&mut self) {
+        self.link.set(LinkFaults::default());
+        self.bus.purge(OBJECT);
+        self.purged_at = Some(Instant::now());
+    }
+}
+
 struct Run {
     random: StdRng,
     program: Program,
@@ -101,6 +178,7 @@
     faults: Faults,
     node: Node,
     link: TcpProxy,
+    bus: BusUnderFaults,
     clients: Vec<Client>,
     crowd: Vec<TcpStream>,
     epoch: Instant,
@@ -115,7 +193,10 @@
         let own = TcpListener::bind("127.0.0.1:0").unwrap();
         let at = own.local_addr().unwrap();
         let node = Node::start("s-1", own, &Arc::new(Origin::default()), seed).unwrap();
-        let link = TcpProxy::start(program.listeners.remove("s-1").unwrap(), at).unwrap();
+        let listener = program.listeners.remove("s-1").unwrap();
+        let listed_at = listener.local_addr().unwrap();
+        let link = TcpProxy::start(listener, at).unwrap();
+        let bus = BusUnderFaults::start(seed, program.listeners.remove("bus").unwrap(), listed_at);
         let deadline_ms: u32 = random.random_range(500..4500);
         program.spoil("\"HardLimitMs\":900", &format!("\"HardLimitMs\":{deadline_ms}"));
         if random.random_bool(0.5) {
@@ -141,6 +222,7 @@
             faults,
             node,
             link,
+            bus,
             clients,
             crowd,
             epoch,
@@ -222,13 +304,7 @@
             is_silent: self.random.random_bool(0.25),
         };
         self.link.set(faults);
-        self.note(format!(
-            "link(delay={},piece={},rate={},silent={})",
-            faults.delay.as_millis(),
-            faults.max_piece,
-            faults.bytes_per_second,
-            faults.is_silent
-        ));
+        self.note(format!("link({})", shown(&faults)));
     }
 
     fn change_node(&mut self) {
@@ -255,9 +331,46 @@
             let span = Duration::from_millis(self.random.random_range(100..500));
             self.pass(span, true);
             self.inject();
+            if self.bus.purged_at.is_none() {
+                let fault = self.bus.inject();
+                self.note(fault);
+            }
         }
     }
 
+    /// The bus is well from here on. Waits until a purge is heeded, or until it must be.
+    fn purge(&mut self) {
+        self.note("purge");
+        self.bus.recover_and_purge();
+        let end = Instant::now() + TOLD_WITHIN + PURGE_SLACK;
+        while Instant::now() < end && !self.is_purge_heeded() {
+            self.pass(Duration::from_millis(20), true);
+        }
+    }
+
+    fn is_purge_heeded(&self) -> bool {
+        let seen = self.node.seen();
+        seen.last().is_some_and(|seen| Some(seen.at) > self.bus.purged_at && seen.max_age_ms.is_some())
+    }
+
+    /// Requests that the node got with no limit on the age of a copy, and that their client wrote later than a purge must
+    /// be heeded. One that was written before may lie on a silent way until then.
+    fn unbounded_after_purge(&self) -> usize {
+        let Some(purged_at) = self.bus.purged_at else { return 0 };
+        let heeded_by = purged_at + TOLD_WITHIN + PURGE_SLACK;
+        let connections = self.clients.iter().flat_map(Client::records);
+        let late: BTreeSet<u64> = connections
+            .flat_map(|connection| connection.requests)
+            .filter(|request| request.written > heeded_by)
+            .map(|request| request.job)
+            .collect();
+        let is_breach = |seen: &&Seen| {
+            let is_late = u64::from_str_radix(&seen.job, 16).is_ok_and(|job| late.contains(&job));
+            is_late && !seen.profile.ends_with("signup") && seen.max_age_ms.is_none()
+        };
+        self.node.seen().iter().filter(is_breach).count()
+    }
+
     /// An operator drains the front, past the limit, with a fault or two meanwhile.
     fn drain(&mut self) {
         self.note("PAUSE");
@@ -310,6 +423,10 @@
         let breaches = check_answers(&observed).into_iter().filter(|b| !only_late(b));
         self.outcome.breaches.extend(breaches.map(|b| format!("answers: {b}")));
         let twice = runs([&self.node]).into_iter().filter(|(_, count)| *count > 1);
+        let unbounded = self.unbounded_after_purge();
+        if unbounded > 0 {
+            self.outcome.breaches.push(format!("purge: {unbounded} requests were sent without its bound"));
+        }
         self.outcome.breaches.extend(
             twice.map(|(body, count)| format!("signup {} ran {count} times", String::from_utf8_lossy(&body))),
         );
@@ -325,6 +442,7 @@
         run.drain();
     }
     let second = run.random.random_range(1..5);
+    run.purge();
     run.trouble(second);
     run.end();
     run.judge()
