Show that a box is released for work while a front that ends has requests open there

A front leaves the fleet right at SIGTERM, and is not asked any more whether it has something open at a machine.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -6,6 +6,7 @@
 mod kit;
 mod permit;
 mod purge;
+mod stale;
 
 use std::path::Path;
 use std::process::exit;
@@ -30,6 +31,7 @@
         "cold" => cold::run(&record, trouble),
         "handover" => handover::run(&record, trouble),
         "permit" => permit::run(&record, trouble),
+        "stale" => stale::run(&record, trouble),
         "purge" => purge::run(&record, trouble),
         other => Verdict::NotRun(format!("no case {other}")),
     };
