--- a/review/standins-2/src/handover.rs
+++ b/review/standins-2/src/handover.rs
@@ -47,7 +47,7 @@
         1,
         true,
         &[
-            server("c1", node.at, "edge-1", "small", "active", 5.0, 0.0),
+            server("c1", node.at, "edge-1", "small", "active", 20.0, 0.0),
             server("o1", origin.at, "east", "origin", "active", 5.0, 0.0),
         ],
     ));
@@ -161,7 +161,7 @@
         let _ = client.join();
     }
     sleep_ms(300);
-    let mut twice = 0;
+    let (mut once, mut twice) = (0, 0);
     for item in &items {
         let thing = format!("{item:016x}");
         let runs: Vec<String> = node
@@ -172,9 +172,7 @@
             .collect();
         record.line(format!("signup {item}: ran {} times: {}", runs.len(), runs.join(", ")));
         twice += usize::from(runs.len() > 1);
-        if runs.is_empty() {
-            return Verdict::NotRun(format!("signup {item} did not reach the cache node through n1"));
-        }
+        once += usize::from(!runs.is_empty());
     }
     for front in &fronts {
         let log = fs::read_to_string(front.folder.join("log")).unwrap_or_default();
@@ -182,6 +180,7 @@
     }
     drop((first, old, new));
     match twice {
+        0 if once < items.len() => Verdict::NotRun(format!("only {once} of {} signups ran", items.len())),
         0 => Verdict::Held(format!("{} signups ran once each", items.len())),
         n => Verdict::Broken(format!("{n} of {} signups ran twice", items.len())),
     }
