Show that a box that is released for work gets requests once a front's cells are taken back

review/6 puts one cell in force by plan and apply, takes a box out for work, and takes the cell back. It takes the place of the case of a hand-over that is forgotten, which review/3 shows already. A run that takes over 110 s ends what it started.

--- a/review/standins-2/src/cold.rs
+++ b/review/standins-2/src/cold.rs
@@ -31,13 +31,22 @@
         let mut held = held.lock().unwrap();
         held.retain(|until| *until > now_ms());
         if held.len() as f64 >= 2.0 * can {
-            return Some(Reply { after_ms: 0, word: "SHED", fields: "remark=no_place".into(), body: Vec::new() });
+            return Some(Reply {
+                after_ms: 0,
+                word: "SHED",
+                fields: "remark=no_place".into(),
+                body: Vec::new(),
+            });
         }
         held.push(now_ms() + 2.0 * WORK_MS);
         Some(Reply {
             after_ms: (2.0 * WORK_MS) as u64,
             word: "HIT",
-            fields: format!("digest={},dated={},remark=pulled,first=20", want.field("thing"), now_ms() as u64),
+            fields: format!(
+                "digest={},dated={},remark=pulled,first=20",
+                want.field("thing"),
+                now_ms() as u64
+            ),
             body: vec![b'x'; 2000],
         })
     }))
@@ -84,7 +93,8 @@
                     ("HTTP_X_SET", (id >> 56).to_string()),
                     ("HTTP_X_RAM_KB", SIZE_KB.to_string()),
                 ];
-                let answer = open.send("/api/v2/small-files", &parameters, b"").and_then(|()| open.answer(2600));
+                let answer =
+                    open.send("/api/v2/small-files", &parameters, b"").and_then(|()| open.answer(2600));
                 let place = match &answer {
                     Ok(a) if a.status == 200 => 0,
                     Ok(_) => 1,
@@ -142,7 +152,11 @@
             }
             let count = (last - first + 1) as f64;
             let allowed = FACTOR * capacity(*end) * WINDOW_MS / WORK_MS;
-            let limit = if allowed < 30.0 { allowed + 3.0 * allowed.sqrt() + 3.0 } else { allowed + 2.0 * allowed.sqrt() + 2.0 };
+            let limit = if allowed < 30.0 {
+                allowed + 3.0 * allowed.sqrt() + 3.0
+            } else {
+                allowed + 2.0 * allowed.sqrt() + 2.0
+            };
             if count - limit > worst.0 {
                 let text = format!("box {n}, 3 s up to {end:.0} ms after its start: {count} requests, N = {allowed:.0}, it falls at {limit:.0}");
                 worst = (count - limit, text);
--- a/review/standins-2/src/kit.rs
+++ b/review/standins-2/src/kit.rs
@@ -237,13 +237,25 @@
             }
             drop(events);
             let body = self.since(from);
-            write!(out, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}", body.len())?;
+            write!(
+                out,
+                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            )?;
         }
     }
 }
 
 /// One server of a list.
-pub fn server(id: &str, at: SocketAddr, zone: &str, kind: &str, state: &str, weight: f64, started: f64) -> String {
+pub fn server(
+    id: &str,
+    at: SocketAddr,
+    zone: &str,
+    kind: &str,
+    state: &str,
+    weight: f64,
+    started: f64,
+) -> String {
     format!(
         "{{\"id\":\"{id}\",\"addr\":\"{at}\",\"zone\":\"{zone}\",\"kind\":\"{kind}\",\"cell\":0,\
          \"state\":\"{state}\",\"weight\":{weight},\"started_ms\":{}}}",
@@ -289,6 +301,16 @@
     starts: u32,
 }
 
+/// The processes that run, by id.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends all processes that were started and still run.
+pub fn end_all() {
+    for id in RUNNING.lock().unwrap().drain(..) {
+        let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -KILL {id}")).status();
+    }
+}
+
 /// A process of a front, killed when dropped.
 pub struct Process {
     pub child: Child,
@@ -297,6 +319,7 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
+        RUNNING.lock().unwrap().retain(|id| *id != self.child.id());
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
@@ -344,7 +367,6 @@
     pub fn new(root: &Path, name: &str, settings: String) -> Front {
         let folder = root.join(name);
         fs::create_dir_all(folder.join("tmp")).unwrap();
-        // A name that other runs on this machine do not have is not needed: each front has a TMPDIR of its own.
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let listen = listener.local_addr().unwrap();
         Front { name: name.into(), folder, listener, listen, arguments: Vec::new(), settings, starts: 0 }
@@ -399,6 +421,7 @@
             .stderr(log)
             .spawn()
             .unwrap();
+        RUNNING.lock().unwrap().push(child.id());
         Process { child, management }
     }
 }
@@ -415,48 +438,6 @@
     }
 }
 
-/// An HTTP response: status, headers in lower case, body.
-pub struct Response {
-    pub status: u16,
-    pub headers: BTreeMap<String, String>,
-    pub body: Vec<u8>,
-}
-
-/// Reads one response with a Content-Length, or without a body.
-pub fn read_response(stream: &TcpStream) -> io::Result<Response> {
-    let mut input = BufReader::new(stream);
-    let mut line = String::new();
-    if input.read_line(&mut line)? == 0 {
-        return Err(io::ErrorKind::UnexpectedEof.into());
-    }
-    let status = line.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
-    let mut headers = BTreeMap::new();
-    loop {
-        let mut line = String::new();
-        if input.read_line(&mut line)? == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-        match line.trim_end().split_once(':') {
-            Some((name, value)) => drop(headers.insert(name.to_ascii_lowercase(), value.trim().to_owned())),
-            None => break,
-        }
-    }
-    let length = headers.get("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
-    let mut body = vec![0; length];
-    input.read_exact(&mut body)?;
-    Ok(Response { status, headers, body })
-}
-
-/// One HTTP request on a connection of its own.
-pub fn http(at: SocketAddr, head: &str, body: &[u8], within_ms: u64) -> io::Result<Response> {
-    let mut stream = TcpStream::connect_timeout(&at, Duration::from_millis(500))?;
-    stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(Duration::from_millis(within_ms)))?;
-    let text = format!("{head}\r\nHost: {at}\r\nContent-Length: {}\r\nConnection: close\r\n\r\n", body.len());
-    stream.write_all(&[text.as_bytes(), body].concat())?;
-    read_response(&stream)
-}
-
 /// The folder of a case's run, removed at its end unless `KEEP` is set.
 pub struct Folder(pub PathBuf);
 
@@ -540,7 +521,8 @@
         }
         let end = output.windows(4).position(|w| w == b"\r\n\r\n").unwrap_or(output.len());
         let head = String::from_utf8_lossy(&output[..end]).into_owned();
-        let status = head.lines().find_map(|l| l.strip_prefix("Status: ")).and_then(|s| s.get(..3)?.parse().ok());
+        let status =
+            head.lines().find_map(|l| l.strip_prefix("Status: ")).and_then(|s| s.get(..3)?.parse().ok());
         let body = output.get(end + 4..).unwrap_or(&[]).to_vec();
         Ok(FcgiAnswer { status: status.unwrap_or(200), body })
     }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -2,11 +2,11 @@
 //! Ends with 1 where the rule was broken, 0 where it held, 2 where the case could not run.
 
 mod cold;
-mod handover;
 mod kit;
 mod permit;
 mod purge;
 mod stale;
+mod unscrewed;
 
 use std::path::Path;
 use std::process::exit;
@@ -26,11 +26,20 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |t| t != "0");
     let record = kit::Record::new();
+    // A case may take 120 s.
+    let (late, late_path) = (record.clone(), path.clone());
+    std::thread::spawn(move || {
+        kit::sleep_ms(110_000);
+        kit::end_all();
+        late.line("not run: it took too long");
+        late.save(Path::new(&late_path));
+        exit(2);
+    });
     // A panic unwinds, so that the processes that were started end.
     let run = || match case.as_str() {
         "cold" => cold::run(&record, trouble),
-        "handover" => handover::run(&record, trouble),
         "permit" => permit::run(&record, trouble),
+        "unscrewed" => unscrewed::run(&record, trouble),
         "stale" => stale::run(&record, trouble),
         "purge" => purge::run(&record, trouble),
         other => Verdict::NotRun(format!("no case {other}")),
--- a/review/standins-2/src/permit.rs
+++ b/review/standins-2/src/permit.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::os::unix::fs::PermissionsExt;
+use std::path::Path;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -14,8 +15,54 @@
 const SIZE_KB: u64 = WORK_MS * 8;
 const NAMES: [&str; 3] = ["n1", "n2", "n3"];
 
+/// Three fronts that vote, and their files: boxes c-1 to c-3 can be taken out for work, one at a time.
+pub fn fleet(folder: &Path) -> Vec<Front> {
+    let key = folder.join("fleet.key");
+    fs::write(&key, "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff\n").unwrap();
+    fs::set_permissions(&key, fs::Permissions::from_mode(0o600)).unwrap();
+    let peers = [(); 3].map(|()| free("127.0.0.1"));
+    let mut fronts: Vec<Front> = Vec::new();
+    for (place, name) in NAMES.iter().enumerate() {
+        let mut front = Front::new(folder, name, settings(3, place as u32));
+        let mut text = format!(
+            "installation = \"review\"\nkey_file = \"{}\"\nversion = 1\nstore = \"{}\"\nlook = \"{}\"\ntick_ms = 50.0\nlease_ms = 2000.0\n",
+            key.display(),
+            front.folder.join("fleet.redb").display(),
+            front.folder.join("fleet.sock").display()
+        );
+        for (name, at) in NAMES.iter().zip(peers) {
+            text +=
+                &format!("[[front]]\nname = \"{name}\"\naddress = \"{at}\"\nsite = \"pest\"\nvotes = true\n");
+        }
+        text += "[[budget]]\nkind = \"retries\"\nrate = 100.0\nburst = 100.0\nfloor = 0.2\n";
+        text += "[work]\nper_location = 1\nmargin_percent = 20\nfurther_loss = false\nback = \"word\"\n";
+        for n in 1..4 {
+            text += &format!(
+                "[[machine]]\nname = \"c-{n}\"\nlocation = \"pest\"\nhub = \"east\"\nkind = \"box\"\nweight = 8.0\n"
+            );
+        }
+        let file = front.folder.join("fleet.toml");
+        fs::write(&file, text).unwrap();
+        front.arguments = vec!["--fleet".into(), file.display().to_string()];
+        fronts.push(front);
+    }
+    fronts
+}
+
+/// Waits until the fronts agree on a leader.
+pub fn agrees(look: &str) -> bool {
+    let until = Instant::now() + Duration::from_secs(15);
+    while !elmtide(&["work", "--json", "--fleet", look]).1.contains("\"contact\":true") {
+        if Instant::now() > until {
+            return false;
+        }
+        sleep_ms(100);
+    }
+    true
+}
+
 /// The stage of a machine in what `elmtide work --json` prints; empty if it is in no job.
-fn stage(fleet: &str, machine: &str) -> String {
+pub fn stage(fleet: &str, machine: &str) -> String {
     let (_, text) = elmtide(&["work", "--json", "--fleet", fleet]);
     let text: String = text.chars().filter(|c| !c.is_whitespace()).collect();
     let Some(at) = text.find(&format!("\"machine\":\"{machine}\"")) else { return String::new() };
@@ -46,34 +93,7 @@
         .collect();
     servers.push(server("o-1", origin.at, "east", "origin", "active", 50.0, 0.0));
     bus.tell(&topology(1, true, &servers));
-    let key = folder.0.join("fleet.key");
-    fs::write(&key, "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff\n").unwrap();
-    fs::set_permissions(&key, fs::Permissions::from_mode(0o600)).unwrap();
-    let peers = [(); 3].map(|()| free("127.0.0.1"));
-    let mut fronts: Vec<Front> = Vec::new();
-    for (place, name) in NAMES.iter().enumerate() {
-        let mut front = Front::new(&folder.0, name, settings(3, place as u32));
-        let mut text = format!(
-            "installation = \"review\"\nkey_file = \"{}\"\nversion = 1\nstore = \"{}\"\nlook = \"{}\"\ntick_ms = 50.0\nlease_ms = 2000.0\n",
-            key.display(),
-            front.folder.join("fleet.redb").display(),
-            front.folder.join("fleet.sock").display()
-        );
-        for (name, at) in NAMES.iter().zip(peers) {
-            text += &format!("[[front]]\nname = \"{name}\"\naddress = \"{at}\"\nsite = \"pest\"\nvotes = true\n");
-        }
-        text += "[[budget]]\nkind = \"retries\"\nrate = 100.0\nburst = 100.0\nfloor = 0.2\n";
-        text += "[work]\nper_location = 1\nmargin_percent = 20\nfurther_loss = false\nback = \"word\"\n";
-        for n in 1..4 {
-            text += &format!(
-                "[[machine]]\nname = \"c-{n}\"\nlocation = \"pest\"\nhub = \"east\"\nkind = \"box\"\nweight = 8.0\n"
-            );
-        }
-        let file = front.folder.join("fleet.toml");
-        fs::write(&file, text).unwrap();
-        front.arguments = vec!["--fleet".into(), file.display().to_string()];
-        fronts.push(front);
-    }
+    let mut fronts = fleet(&folder.0);
     let mut processes: Vec<Process> = fronts.iter_mut().map(|f| f.start(&bus, true)).collect();
     for process in &mut processes {
         if !process.ready(10_000) {
@@ -81,15 +101,18 @@
         }
     }
     let look = fronts[0].arguments[1].clone();
-    let until = Instant::now() + Duration::from_secs(15);
-    while !elmtide(&["work", "--json", "--fleet", &look]).1.contains("\"contact\":true") {
-        if Instant::now() > until {
-            return Verdict::NotRun("the fronts do not agree on a leader".into());
-        }
-        sleep_ms(100);
+    if !agrees(&look) {
+        return Verdict::NotRun("the fronts do not agree on a leader".into());
     }
     sleep_ms(1500);
-    record.line(format!("leader: {:?}", elmtide(&["work", "--json", "--fleet", &look]).1.split("\"leader\":").nth(1).map(|t| t.chars().take(8).collect::<String>())));
+    record.line(format!(
+        "leader: {:?}",
+        elmtide(&["work", "--json", "--fleet", &look])
+            .1
+            .split("\"leader\":")
+            .nth(1)
+            .map(|t| t.chars().take(8).collect::<String>())
+    ));
     // Clients of n2 ask for 8 large parts of videos.
     let mut clients = Vec::new();
     for number in 0..8u64 {
@@ -118,7 +141,8 @@
     if open.is_empty() {
         return Verdict::NotRun("no request of n2 is at c-1".into());
     }
-    let (code, said) = elmtide(&["work", "--fleet", &look, "out", "c-1", "--reason", "kernel", "--minutes", "5"]);
+    let (code, said) =
+        elmtide(&["work", "--fleet", &look, "out", "c-1", "--reason", "kernel", "--minutes", "5"]);
     record.line(format!("elmtide work out c-1: {code} {}", said.trim()));
     if code != 0 {
         return Verdict::NotRun("the job was not agreed".into());
--- a/review/standins-2/src/purge.rs
+++ b/review/standins-2/src/purge.rs
@@ -58,7 +58,8 @@
 
 pub fn run(record: &Record, trouble: bool) -> Verdict {
     let folder = Folder::new();
-    let copies = Arc::new(Mutex::new(Copies { dated: BTreeMap::new(), purged_at: None, answered: Vec::new() }));
+    let copies =
+        Arc::new(Mutex::new(Copies { dated: BTreeMap::new(), purged_at: None, answered: Vec::new() }));
     // Both boxes give the same copies, so that it makes no difference which of them is asked.
     let boxes = [keeping_box(&copies), keeping_box(&copies)];
     let origin = Node::start(Arc::new(|_| None));
@@ -84,9 +85,16 @@
         "[[cell]]\nname = \"one\"\nboxes = [\"c0\"]\n[[cell]]\nname = \"two\"\nboxes = [\"c1\"]\n",
     )
     .unwrap();
-    front.arguments = ["--edge", &edge.display().to_string(), "--cells", &cells.display().to_string(), "--control", &front.control().display().to_string()]
-        .map(String::from)
-        .to_vec();
+    front.arguments = [
+        "--edge",
+        &edge.display().to_string(),
+        "--cells",
+        &cells.display().to_string(),
+        "--control",
+        &front.control().display().to_string(),
+    ]
+    .map(String::from)
+    .to_vec();
     let mut process = front.start(&bus, true);
     if !process.ready(8000) {
         return Verdict::NotRun("the front is not ready".into());
--- a/review/standins-2/src/stale.rs
+++ b/review/standins-2/src/stale.rs
@@ -43,7 +43,8 @@
         .collect();
     let origin = Node::start(Arc::new(|_| None));
     let bus = Bus::start();
-    let line = |n: usize, state: &str| server(&format!("c{n}"), boxes[n].at, "edge-1", "small", state, 8.0, 0.0);
+    let line =
+        |n: usize, state: &str| server(&format!("c{n}"), boxes[n].at, "edge-1", "small", state, 8.0, 0.0);
     let mut servers: Vec<String> = (0..3).map(|n| line(n, "active")).collect();
     servers.push(server("o1", origin.at, "east", "origin", "active", 50.0, 0.0));
     bus.tell(&topology(1, true, &servers));
@@ -59,7 +60,8 @@
     )
     .unwrap();
     let paths = [&edge, &cells, &front.control()].map(|p| p.display().to_string());
-    front.arguments = ["--edge", &paths[0], "--cells", &paths[1], "--control", &paths[2]].map(String::from).to_vec();
+    front.arguments =
+        ["--edge", &paths[0], "--cells", &paths[1], "--control", &paths[2]].map(String::from).to_vec();
     let mut process = front.start(&bus, true);
     if !process.ready(8000) {
         return Verdict::NotRun("the front is not ready".into());
@@ -107,7 +109,17 @@
     let change = |text: &str| -> Option<String> {
         fs::write(&cells, text).unwrap();
         let plan = folder.0.join("plan.json").display().to_string();
-        let (planned, said) = elmtide(&["plan", "--edge", &paths[0], "--cells", &paths[1], "--control", &paths[2], "--out", &plan]);
+        let (planned, said) = elmtide(&[
+            "plan",
+            "--edge",
+            &paths[0],
+            "--cells",
+            &paths[1],
+            "--control",
+            &paths[2],
+            "--out",
+            &plan,
+        ]);
         let (applied, answer) = elmtide(&["apply", "--control", &paths[2], &plan]);
         record.line(format!("plan and apply of cells: {planned} {applied}"));
         (planned != 2 || applied != 0).then(|| format!("{said} {answer}"))
@@ -137,7 +149,11 @@
     clients.into_iter().for_each(|c| drop(c.join()));
     for (n, node) in boxes.iter().enumerate() {
         let seen: Vec<Want> = node.seen().into_iter().filter(|w| w.at > told_at).collect();
-        record.line(format!("c{n}: {} requests since c2 is leaving, the last {:.0} ms after", seen.len(), seen.last().map_or(0.0, |w| w.at - told_at)));
+        record.line(format!(
+            "c{n}: {} requests since c2 is leaving, the last {:.0} ms after",
+            seen.len(),
+            seen.last().map_or(0.0, |w| w.at - told_at)
+        ));
     }
     let late: Vec<Want> = boxes[2].seen().into_iter().filter(|w| w.at > told_at + GRACE_MS).collect();
     let log = fs::read_to_string(front.folder.join("log")).unwrap_or_default();
