--- a/review/standins-2/src/cold.rs
+++ b/review/standins-2/src/cold.rs
@@ -8,7 +8,7 @@
 use crate::kit::*;
 use crate::Verdict;
 
-const WEIGHT: f64 = 5.0;
+const WEIGHT: f64 = 4.0;
 /// Sending time of each request, ms, and its size at `ClientKbPerS`.
 const WORK_MS: f64 = 40.0;
 const SIZE_KB: f64 = WORK_MS / 1000.0 * 8000.0;
@@ -67,10 +67,10 @@
         return Verdict::NotRun("the front is not ready".into());
     }
     sleep_ms(4000);
-    // Clients: 110 at a time, about 440 requests a second, a new connection for every fourth request.
+    // Clients: 118 at a time, about 470 requests a second, a new connection for every fourth request.
     let (stop, counts) = (Arc::new(AtomicBool::new(false)), Arc::new([const { AtomicU64::new(0) }; 3]));
     let mut clients = Vec::new();
-    for client in 0..110u64 {
+    for client in 0..118u64 {
         let (at, stop, counts) = (front.listen, stop.clone(), counts.clone());
         clients.push(thread::spawn(move || {
             let (mut connection, mut next) = (None, Instant::now() + Duration::from_millis(client * 2));
@@ -124,7 +124,7 @@
         .map(|(n, b)| server(&format!("c{n}"), b.at, "edge-1", "small", "active", WEIGHT, began))
         .collect();
     bus.tell(&topology(2, false, &lines));
-    record.line("the branch is back: two boxes, cold, of weight 5");
+    record.line("the branch is back: two boxes, cold, of weight 4");
     if let Some((process, yes_at)) = &new {
         // SIGTERM comes within 6 s of the yes.
         thread::sleep(Duration::from_millis(5800).saturating_sub(yes_at.elapsed()));
