Show that a front forgets machines out for work once 4,096 cache nodes were listed

Reason: the review had not tried large fleets. What keeps a machine out for work away from requests is bounded by members that were ever listed, not by those that are there.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -2,6 +2,7 @@
 //! Ends with 1 where the rule was broken, 0 where it held, 2 where the case could not run.
 
 mod cold;
+mod forgotten;
 mod kit;
 mod permit;
 mod purge;
@@ -38,6 +39,7 @@
     // A panic unwinds, so that the processes that were started end.
     let run = || match case.as_str() {
         "cold" => cold::run(&record, trouble),
+        "forgotten" => forgotten::run(&record, trouble),
         "permit" => permit::run(&record, trouble),
         "unscrewed" => unscrewed::run(&record, trouble),
         "stale" => stale::run(&record, trouble),
