--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -4,6 +4,7 @@
 mod cold;
 mod forgotten;
 mod kit;
+mod leaving;
 mod permit;
 mod purge;
 mod stale;
@@ -40,6 +41,8 @@
     let run = || match case.as_str() {
         "cold" => cold::run(&record, trouble),
         "forgotten" => forgotten::run(&record, trouble),
+        // By hand only, as `stale`: the report has them.
+        "leaving" => leaving::run(&record, trouble),
         "permit" => permit::run(&record, trouble),
         "unscrewed" => unscrewed::run(&record, trouble),
         "stale" => stale::run(&record, trouble),
