Hand all that the process knows to each router that comes to take requests

Cause: each way of making a router (start, SIGHUP, cells put in force, split, removed) handed over a list of its own. New routers of cells got lists and no purges; with cells in force the router without cells heard nothing of machines under maintenance, one made by SIGHUP no lists either; nobody was told what others had sent to a cold server or learned of a failing one; cells put in force after a SIGHUP took its router for one of theirs.

Change: RouterKnowledge is all that a router must know; RouterSet creates routers in one place, from a Handover of it, and gives every later change to all routers, replaced ones included. Routers that take over know what others have sent to cold servers (src/server_history.rs), and replaced ones send those nothing more. A layout that can't be put in force changes nothing and says so to whoever applies it. Health and purges of the decision module are modules of their own.

--- a/front/src/engine/attempts.rs
+++ b/front/src/engine/attempts.rs
@@ -18,33 +18,32 @@
 impl<U: Upstream> Engine<U> {
     /// Gives an event to every router.
     pub(super) fn dispatch_to_all(&mut self, event: &Event) {
-        for router in 0..self.routers.len() {
+        for router in self.routers.indices() {
             self.dispatch(router, event.clone());
         }
     }
 
     /// Gives a router an event and carries out its actions.
     pub(super) fn dispatch(&mut self, router: usize, event: Event) {
-        if self.maintenance.as_ref().is_some_and(|maintenance| maintenance.lease_has_changed()) {
-            self.exclude_servers_under_maintenance();
-        }
-        self.update_process_share(router);
+        self.heed_lease_changes();
         let mut actions = std::mem::take(&mut self.actions);
-        match &self.budgets {
-            Some(budgets) => {
-                if budgets.lease_has_changed() {
-                    self.update_slow_start_shares();
-                }
-                self.handle_with_retry_budget(router, event, &mut actions)
-            }
-            None => self.routers[router].handle(self.now, event, &mut actions),
-        }
+        self.handle_with_retry_budget(router, event, &mut actions);
         for action in actions.drain(..) {
             self.carry_out(router, action);
         }
         self.actions = actions;
     }
 
+    /// Updates what follows from leases that have begun or expired.
+    pub(super) fn heed_lease_changes(&mut self) {
+        if self.maintenance.as_ref().is_some_and(|maintenance| maintenance.lease_has_changed()) {
+            self.exclude_servers_under_maintenance();
+        }
+        if self.budgets.as_ref().is_some_and(|budgets| budgets.lease_has_changed()) {
+            self.update_slow_start_shares();
+        }
+    }
+
     /// Handles an event with retries drawn from the budget shared by all fronts. The router is lent what may be spent
     /// now, and what it used is spent at the same clock reading, before anything is sent.
     pub(super) fn handle_with_retry_budget(
@@ -53,17 +52,18 @@
         event: Event,
         actions: &mut Vec<Action>,
     ) {
+        let Some(router) = self.routers.prepare(router, &self.knowledge, self.now) else { return };
         // No other event starts an attempt.
         let may_start_attempts =
             matches!(event, Event::Request(_) | Event::Reply { .. } | Event::Timer { .. });
         let Some(budgets) = self.budgets.as_mut().filter(|b| may_start_attempts && b.has_budget(RETRIES))
         else {
-            return self.routers[router].handle(self.now, event, actions);
+            return router.handle(self.now, event, actions);
         };
         let lent_retries = budgets.available(RETRIES).floor();
-        self.routers[router].lend_retries(lent_retries);
-        self.routers[router].handle(self.now, event, actions);
-        let used = lent_retries - self.routers[router].lend_retries(0.0);
+        router.lend_retries(lent_retries);
+        router.handle(self.now, event, actions);
+        let used = lent_retries - router.lend_retries(0.0);
         if used <= 0.0 && lent_retries >= 1.0 {
             return;
         }
@@ -142,7 +142,9 @@
         let work = self.exchanges.get(key.id).and_then(|e| e.work);
         budgets.note_work_sent(source.is_some_and(|s| s != cache), work, priority_if(write));
         let fill_source = source.filter(|_| !write);
-        let Some(kind) = fill_source.map(|source| self.endpoints.kind(source)) else { return source };
+        let Some(kind) = fill_source.map(|source| self.knowledge.endpoints.kind(source)) else {
+            return source;
+        };
         let from_origin = kind.is_some() && kind == self.settings.origin_kind;
         source.filter(|_| budgets.try_reserve_fill(key, from_origin, priority_if(write)))
     }
--- a/front/src/engine/endpoints.rs
+++ b/front/src/engine/endpoints.rs
@@ -5,7 +5,7 @@
 use elmtide::{Event, ListUpdate, Ms, ObjectId, Outcome, PurgeGroup};
 use elmtide_cells::CellIx;
 
-use super::{cells, Engine, MAX_REMEMBERED_PURGES};
+use super::{cells, Engine};
 use crate::exchange::{MembersUpdate, Upstream};
 use crate::process::clock;
 
@@ -24,12 +24,9 @@
 
     /// Passes a purge to the routers, and keeps it for routers created later.
     pub(super) fn apply_purge(&mut self, object: Option<ObjectId>, group: PurgeGroup, at: Ms) {
-        if self.purges.len() >= MAX_REMEMBERED_PURGES {
-            self.purges.pop_front();
-        }
         // Convert to the engine's clock: the timestamp comes from another machine's clock.
         let ago = clock::age_of(at);
-        self.purges.push_back((object, group, self.now - ago));
+        self.knowledge.record_purge(object, group, self.now - ago, self.now);
         self.dispatch_to_all(&Event::Purged { object, group, ago });
     }
 
@@ -40,29 +37,36 @@
         self.apply_endpoint_update(members_update, event);
     }
 
-    /// Passes a list to the routers: without cells the event itself, with cells a full list for each router.
+    /// Passes a list to the routers.
     pub(super) fn apply_endpoint_update(&mut self, members_update: &MembersUpdate, event: Event) {
-        self.endpoints.update(members_update, &event);
+        self.knowledge.endpoints.update(members_update, &event);
         if let Some(maintenance) = &mut self.maintenance {
             maintenance.update_members(members_update);
             self.exclude_servers_under_maintenance();
         }
-        let event = self.endpoints.effective_event(event);
-        self.failing.retain_present(self.endpoints.present().map(|(member, _)| member));
+        let event = self.knowledge.endpoints.effective_event(event);
+        self.failing.retain_present(self.knowledge.endpoints.present().map(|(member, _)| member));
         self.update_endpoint_figures();
-        // Without cells every router gets it: routers from before a reload still decide on their open requests.
-        match self.cells {
-            None => self.dispatch_to_all(&event),
-            Some(_) => self.dispatch(0, event),
+        self.distribute_list(&event);
+        self.update_slow_start_shares();
+    }
+
+    /// Gives every router what a list changes for it. Replaced routers still decide on their open requests.
+    fn distribute_list(&mut self, event: &Event) {
+        for router in self.routers.indices() {
+            if self.routers.uses_all_servers(router) {
+                self.dispatch(router, event.clone());
+            } else if let Some(list) = self.routers.list_of_replaced(router, &self.knowledge) {
+                self.dispatch(router, cells::full_list(list));
+            }
         }
         self.update_cell_endpoints();
-        self.update_slow_start_shares();
     }
 
     /// Withdraws unwritten attempts that a member that is no longer ready would serve or fill, so that they go
     /// elsewhere: they were decided before the update and must not be written long after it.
     pub(super) fn withdraw_from_unavailable(&mut self) {
-        let endpoints = &self.endpoints;
+        let endpoints = &self.knowledge.endpoints;
         let withdrawn = self.upstream.withdraw_from(&|member| !endpoints.is_ready(member));
         self.ended_attempts.extend(withdrawn.into_iter().map(|key| (key, Outcome::Moot)));
     }
@@ -83,22 +87,19 @@
         if changed.is_empty() {
             return;
         }
-        self.endpoints.exclude(maintenance.excluded().clone());
-        let entries = self.endpoints.effective_listings(&changed);
+        self.knowledge.endpoints.exclude(maintenance.excluded().clone());
+        let entries = self.knowledge.endpoints.effective_listings(&changed);
         if entries.is_empty() {
             return;
         }
-        match self.cells {
-            None => self.dispatch_to_all(&Event::List { update: ListUpdate::Delta, entries }),
-            Some(_) => self.update_cell_endpoints(),
-        }
+        self.distribute_list(&Event::List { update: ListUpdate::Delta, entries });
     }
 
     /// Updates the counts of listed cache nodes and of excluded ones: not ready, or failing since their last good
     /// answer.
     pub(super) fn update_endpoint_figures(&self) {
         let (mut known, mut avoided) = (0, 0);
-        for (member, ready) in self.endpoints.present() {
+        for (member, ready) in self.knowledge.endpoints.present() {
             known += 1;
             avoided += u64::from(!ready || self.failing.is_failing(member));
         }
@@ -110,10 +111,25 @@
     pub(super) fn update_cell_endpoints(&mut self) {
         let Some(cells) = &self.cells else { return };
         let now = self.now;
-        let (lists, ready) = cells.lists(&self.endpoints, &self.settings);
-        for (router, entries) in lists {
-            self.dispatch(router, cells::full_list(entries));
+        let (lists, ready) = cells.lists(&self.knowledge.endpoints, &self.settings);
+        if lists.iter().any(|(router, list)| self.routers.gains_server(*router, list)) {
+            let handover = self.routers.handover(&self.knowledge, now);
+            let mut actions = Vec::new();
+            for (router, list) in lists {
+                self.routers.replace_list(router, list, &handover, &mut actions);
+            }
+            debug_assert!(actions.is_empty(), "a full list orders nothing");
+        } else {
+            for (router, list) in lists {
+                self.dispatch(router, cells::full_list(list));
+            }
         }
+        self.set_ready_nodes(ready);
+    }
+
+    /// Tells the cells how many of their nodes are ready.
+    pub(super) fn set_ready_nodes(&mut self, ready: Vec<usize>) {
+        let now = self.now;
         if let Some(cells) = &mut self.cells {
             for (index, ready) in ready.into_iter().enumerate() {
                 cells.cells.set_ready_nodes(CellIx(index as u16), ready, now);
--- a/front/src/engine/fleet_report.rs
+++ b/front/src/engine/fleet_report.rs
@@ -46,7 +46,7 @@
             let (exchanges, failing) = (&self.exchanges, &self.failing);
             let has_open_requests = exchanges.unanswered() > 0;
             let mut report = maintenance.report(
-                &self.endpoints.all_listings(),
+                &self.knowledge.endpoints.all_listings(),
                 &self.settings,
                 self.now,
                 |member| failing.is_failing(member),
@@ -67,16 +67,17 @@
                     .zip(duration)
                     .is_some_and(|(started_at, duration)| now - started_at < duration)
         };
-        let caches_warm = !self.endpoints.all_listings().iter().any(is_cold);
+        let caches_warm = !self.knowledge.endpoints.all_listings().iter().any(is_cold);
         budgets.report(report, caches_warm);
     }
 
     /// Gives the routers this front's shares of the capacity of servers in slow start.
     pub(super) fn update_slow_start_shares(&mut self) {
         let Some(budgets) = &mut self.budgets else { return };
-        let listed = self.endpoints.present_listings();
+        let listed = self.knowledge.endpoints.present_listings();
         for share in budgets.update_slow_start(&listed, &self.settings, self.now) {
-            self.routers.iter_mut().for_each(|r| r.divide_cold_budget(share.member, share.fronts));
+            self.knowledge.record_slow_start_share(share);
+            self.routers.divide_cold_budget(share.member, share.fronts);
         }
     }
 }
--- a/front/src/engine/mod.rs
+++ b/front/src/engine/mod.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Receiver, RecvTimeoutError};
-use elmtide::{Action, Event, MemberId, Ms, ObjectId, Outcome, ProcessShare, PurgeGroup, Router, Settings};
+use elmtide::{Action, Event, MemberId, Ms, Outcome, ProcessShare, Settings};
 
 mod admission;
 mod attempts;
@@ -18,16 +18,21 @@
 mod fleet_report;
 pub mod maintenance_client;
 mod reconfigure;
+mod router_knowledge;
+mod routers;
 mod timers;
 
 use self::budget_client::BudgetClient;
 use self::cells::CellRouting;
-use self::endpoint_set::EndpointSet;
 use self::maintenance_client::MaintenanceClient;
+use self::router_knowledge::RouterKnowledge;
+use self::routers::{RouterScope, RouterSet, RouterSpec};
 use self::timers::{
     Timer, TimerQueue, CONNECTION_CHECK_INTERVAL_MS, FLEET_REPORT_INTERVAL_MS, SWEEP_INTERVAL_MS,
 };
-use crate::exchange::{AttemptEnd, AttemptKey, Input, ListSource, MembersUpdate, Reconfiguration, Upstream};
+use crate::exchange::{
+    AttemptEnd, AttemptKey, CellsChange, Input, ListSource, MembersUpdate, Reconfiguration, Upstream,
+};
 use crate::memory::announced::Announced;
 use crate::memory::counters::Counters;
 use crate::memory::exchanges::Exchanges;
@@ -38,12 +43,10 @@
 
 /// Owns the routers and all state that their decisions need.
 pub struct Engine<U> {
-    /// The first router, followed by those created for reloads or for cells and shards.
-    routers: Vec<Router>,
+    routers: RouterSet,
+    /// What every router must know.
+    knowledge: RouterKnowledge,
     cells: Option<Box<CellRouting>>,
-    /// Names of the existing routers; kept here while cells are off.
-    router_names: Vec<String>,
-    endpoints: EndpointSet,
     settings: Settings,
     seed: u64,
     upstream: U,
@@ -66,8 +69,6 @@
     now: Ms,
     /// Index of the router that takes new requests while cells are off.
     current_router: usize,
-    /// The most recent purges, replayed to routers created after them.
-    purges: VecDeque<(Option<ObjectId>, PurgeGroup, Ms)>,
     /// The name of each class of `settings`. Ids are never reused, so that open requests keep their rules.
     class_names: Vec<Arc<str>>,
     /// Clients are sent to other fronts, since this front's machine goes into maintenance.
@@ -76,15 +77,10 @@
     budgets: Option<Box<BudgetClient>>,
     /// Machines under maintenance, where the fleet's file lists machines.
     maintenance: Option<Box<MaintenanceClient>>,
-    /// This process's part of the front's cold budgets, where other processes of the front may run.
-    process_share: Option<ProcessShare>,
 }
 
-/// The most purges that are replayed to a router created after them.
-const MAX_REMEMBERED_PURGES: usize = 4096;
-/// The most classes over all reloads, and the most routers kept for reloads.
+/// The most classes over all reloads.
 const MAX_CLASSES: usize = 1024;
-const MAX_ROUTERS: usize = 16;
 
 /// The most inputs that are handled before the next waiting request: more than the inputs that one request causes, so
 /// that the channel does not fill while requests wait.
@@ -110,15 +106,18 @@
         let now = clock::steady_ms();
         let mut actions = Vec::new();
         let max_retry_after_ms = configured_max_retry_after(&settings);
-        let router = Router::new(settings.clone(), seed, now, &mut actions);
+        let knowledge = RouterKnowledge::new(&settings, now);
+        let mut routers = RouterSet::new(seed);
+        let spec = RouterSpec { scope: RouterScope::AllServers, settings: settings.clone() };
+        let handover = routers.handover(&knowledge, now);
+        let current_router = routers.create(spec, Vec::new(), &handover, &mut actions);
         let mut timers = TimerQueue::default();
         timers.schedule(now + SWEEP_INTERVAL_MS, Timer::Sweep);
         timers.schedule(now + CONNECTION_CHECK_INTERVAL_MS, Timer::ConnectionCheck);
         Engine {
-            routers: vec![router],
+            routers,
+            knowledge,
             cells: None,
-            router_names: vec![String::new()],
-            endpoints: EndpointSet::default(),
             settings,
             seed,
             upstream,
@@ -133,19 +132,17 @@
             counters,
             max_retry_after_ms,
             now,
-            current_router: 0,
-            purges: VecDeque::new(),
+            current_router,
             class_names: Vec::new(),
             sends_clients_away: false,
             budgets: None,
             maintenance: None,
-            process_share: None,
         }
     }
 
     /// Shares the front's cold budgets with its other processes, which are observed from now on.
     pub fn with_other_processes(mut self) -> Engine<U> {
-        self.process_share = Some(ProcessShare::new(self.now));
+        self.knowledge.process_share = Some(ProcessShare::new(self.now));
         self
     }
 
@@ -222,19 +219,11 @@
     /// Records how many processes of this front run.
     fn observe_processes(&mut self, at: Ms, processes: Option<u32>) {
         let window = self.settings.overload_window.unwrap_or(0.0);
-        if let Some(share) = &mut self.process_share {
+        if let Some(share) = &mut self.knowledge.process_share {
             share.observe(at, processes, window);
         }
     }
 
-    /// Tells a router the present part of this process; done before each of its decisions, so that no router can have
-    /// an outdated one, however it was made.
-    fn update_process_share(&mut self, router: usize) {
-        let Some(share) = &self.process_share else { return };
-        let window = self.settings.overload_window.unwrap_or(0.0);
-        self.routers[router].divide_among_processes(share.divisor(self.now, window));
-    }
-
     /// Handles one input and all attempts that ended because of it.
     pub fn handle(&mut self, input: Input) {
         self.update_clock();
@@ -270,7 +259,7 @@
                 self.withdraw_from_unavailable();
             }
             Input::Purged { object, group, at } => self.apply_purge(object, group, at),
-            Input::Cells(layout) => self.reconfigure_cells(layout),
+            Input::Cells(CellsChange { layout, done }) => done(self.reconfigure_cells(layout)),
             Input::UndoMove(shop) => self.undo_move(shop),
             Input::Fleet(update) => self.apply_fleet_update(update),
             Input::ProcessesObserved { at, processes } => self.observe_processes(at, processes),
--- a/front/src/engine/reconfigure.rs
+++ b/front/src/engine/reconfigure.rs
@@ -1,11 +1,14 @@
 //! Configuration changes applied while the engine runs: classes, limits, and the layout of cells.
 
-use elmtide::{ClassId, Event, RequestId, Router, Settings};
+use std::collections::HashSet;
+
+use elmtide::{ClassId, Listing, RequestId, Settings};
 use elmtide_cells::{Layout, ShopId};
 
-use super::cells::{self, CellRouting};
+use super::cells::{self, CellRouting, CellScope, LayoutError};
+use super::routers::{RouterScope, RouterSpec};
 use super::timers::{Timer, CELL_INTERVAL_MS};
-use super::{configured_max_retry_after, Engine, MAX_CLASSES, MAX_ROUTERS};
+use super::{configured_max_retry_after, Engine, MAX_CLASSES};
 use crate::exchange::{Class, Upstream};
 
 impl<U: Upstream> Engine<U> {
@@ -36,84 +39,107 @@
             // Unchanged settings: the router keeps what it knows of the nodes, and what it has sent to cold ones.
             return Ok(class_table);
         }
-        let routers_in_use: std::collections::HashSet<usize> = self.exchanges.routers().collect();
-        let free_index =
-            (0..self.routers.len()).find(|r| *r != self.current_router && !routers_in_use.contains(r));
-        let index = match free_index {
-            Some(index) => index,
-            None if self.routers.len() < MAX_ROUTERS => self.routers.len(),
-            None => return Err("too many routers still have requests open".into()),
-        };
-        let mut actions = Vec::new();
-        let router = Router::new(settings.clone(), self.seed, self.now, &mut actions);
-        match index == self.routers.len() {
-            true => self.routers.push(router),
-            false => self.routers[index] = router,
-        }
+        self.remove_idle_routers();
+        self.routers.has_room_for(1).map_err(|error| error.to_string())?;
         self.max_retry_after_ms = configured_max_retry_after(&settings);
-        (self.settings, self.class_names, self.current_router) = (settings, names, index);
-        for action in actions {
-            self.carry_out(index, action);
-        }
-        let entries = self.endpoints.present_listings();
-        self.dispatch(index, cells::full_list(entries));
-        // The new router must not serve a copy from before a purge either.
-        let purges: Vec<_> = self.purges.iter().copied().collect();
-        for (object, group, at) in purges {
-            let ago = (self.now - at).max(0.0);
-            self.dispatch(index, Event::Purged { object, group, ago });
-        }
+        (self.settings, self.class_names) = (settings, names);
+        self.replace_current_router();
         Ok(class_table)
     }
 
-    /// Applies another layout of cells, or none. The layout has been checked; if it can't be applied, nothing changes.
-    pub(super) fn reconfigure_cells(&mut self, layout: Option<Box<Layout>>) {
-        let Some(layout) = layout else {
-            // Running requests finish where they are; waiting ones are rejected.
-            let waiting: Vec<RequestId> = self.cells.iter().flat_map(|c| c.waiting.keys().copied()).collect();
-            if let Some(cells) = self.cells.take() {
-                self.router_names = cells.names;
-            }
-            waiting.into_iter().for_each(|id| self.reject(id, self.retry_after(id)));
-            eprintln!("cells: no cells are configured any more");
-            return;
+    /// Gives new requests to a new router for all servers; the routers before it keep their open requests.
+    fn replace_current_router(&mut self) {
+        self.heed_lease_changes();
+        self.knowledge.apply_settings(&self.settings);
+        let spec = RouterSpec { scope: RouterScope::AllServers, settings: self.settings.clone() };
+        let list = self.knowledge.endpoints.present_listings();
+        let handover = self.routers.handover(&self.knowledge, self.now);
+        let mut actions = Vec::new();
+        let index = self.routers.create(spec, list, &handover, &mut actions);
+        self.routers.replace_all_but(&[index]);
+        self.current_router = index;
+        actions.into_iter().for_each(|action| self.carry_out(index, action));
+    }
+
+    /// Removes the routers that were replaced and have no requests any more.
+    pub(super) fn remove_idle_routers(&mut self) {
+        let in_use: HashSet<usize> = self.exchanges.routers().collect();
+        self.routers.remove_idle(&in_use, &mut self.knowledge, self.now);
+    }
+
+    /// Applies another layout of cells, or none. If it can't be applied, nothing changes.
+    pub(super) fn reconfigure_cells(&mut self, layout: Option<Box<Layout>>) -> Result<(), String> {
+        self.remove_idle_routers();
+        let applied = match layout {
+            Some(layout) => self.apply_layout(*layout),
+            None => self.remove_cells(),
         };
+        let message =
+            applied.map_err(|error| error.to_string()).inspect_err(|error| eprintln!("cells: {error}"))?;
+        eprintln!("cells: {message}");
+        Ok(())
+    }
+
+    /// Returns to one list and one budget. Running requests finish where they are; waiting ones are rejected.
+    fn remove_cells(&mut self) -> Result<String, LayoutError> {
+        self.routers.has_room_for(1)?;
+        let waiting: Vec<RequestId> = self.cells.iter().flat_map(|c| c.waiting.keys().copied()).collect();
+        if self.cells.take().is_some() {
+            self.replace_current_router();
+        }
+        waiting.into_iter().for_each(|id| self.reject(id, self.retry_after(id)));
+        Ok("no cells are configured any more".into())
+    }
+
+    fn apply_layout(&mut self, layout: Layout) -> Result<String, LayoutError> {
+        let required = cells::required_routers(&layout, &self.settings)?;
+        let found: Vec<Option<usize>> =
+            required.iter().map(|(_, spec)| self.routers.find_current(spec)).collect();
+        self.routers.has_room_for(found.iter().filter(|index| index.is_none()).count())?;
         let names: Vec<&str> = layout.cells().iter().map(|c| &c.name[..]).collect();
-        let message = format!("cells: {} are in force: {}", names.len(), names.join(", "));
-        let (seed, now) = (self.seed, self.now);
-        let layout_result = match &mut self.cells {
-            Some(cells) => cells.cells.apply_layout(*layout, now),
+        let message = format!("{} are in force: {}", names.len(), names.join(", "));
+        self.heed_lease_changes();
+        let scopes = required.iter().map(|(scope, _)| scope);
+        let (lists, ready) = cells::lists(&layout, scopes, &self.knowledge.endpoints, &self.settings);
+        match &mut self.cells {
+            Some(cells) => cells.cells.apply_layout(layout, self.now).map_err(LayoutError::Invalid)?,
             None => {
-                self.cells = Some(Box::new(CellRouting::new(
-                    *layout,
-                    seed,
-                    now,
-                    std::mem::take(&mut self.router_names),
-                )));
-                self.timers.schedule(now + CELL_INTERVAL_MS, Timer::Cells);
-                Ok(())
+                self.cells = Some(Box::new(CellRouting::new(layout, self.seed, self.now)));
+                self.timers.schedule(self.now + CELL_INTERVAL_MS, Timer::Cells);
             }
-        };
-        let new_routers =
-            layout_result.and_then(|()| self.cells.as_mut().map_or(Ok(Vec::new()), |c| c.assign_routers()));
-        let message = match new_routers {
-            Err(why) => format!("cells: {why}"),
-            Ok(new_routers) => {
-                for cells::NewRouter { router: index, cell, routers_in_cell } in new_routers {
-                    let Some(cells) = &self.cells else { break };
-                    let scaled =
-                        cells::router_settings(&self.settings, cells.cells.layout(), cell, routers_in_cell);
-                    // All cells' routers use the same seed, so that they build their tables alike.
-                    let mut actions = Vec::new();
-                    let router = Router::new(scaled, seed, now, &mut actions);
-                    debug_assert_eq!(index, self.routers.len());
-                    self.routers.push(router);
+        }
+        self.assign_cell_routers(required, found, lists);
+        self.set_ready_nodes(ready);
+        Ok(message)
+    }
+
+    /// Gives each scope the router that was found for it, or a new one; other routers take no more requests.
+    fn assign_cell_routers(
+        &mut self,
+        required: Vec<(CellScope, RouterSpec)>,
+        found: Vec<Option<usize>>,
+        lists: Vec<Vec<Listing>>,
+    ) {
+        let handover = self.routers.handover(&self.knowledge, self.now);
+        let (mut scopes, mut ordered) = (Vec::new(), Vec::new());
+        for (((scope, spec), found), list) in required.into_iter().zip(found).zip(lists) {
+            let mut actions = Vec::new();
+            let index = match found {
+                Some(index) => {
+                    self.routers.replace_list(index, list, &handover, &mut actions);
+                    index
                 }
-                message
-            }
-        };
-        self.update_cell_endpoints();
-        eprintln!("{message}");
+                None => self.routers.create(spec, list, &handover, &mut actions),
+            };
+            scopes.push((scope, index));
+            ordered.extend(actions.into_iter().map(|action| (index, action)));
+        }
+        let current: Vec<usize> = scopes.iter().map(|(_, index)| *index).collect();
+        self.routers.replace_all_but(&current);
+        if let Some(cells) = &mut self.cells {
+            cells.set_routers(scopes);
+        }
+        ordered.into_iter().for_each(|(index, action)| self.carry_out(index, action));
     }
 
     /// Undoes a shop's move between cells.
--- a/front/src/engine/tests.rs
+++ b/front/src/engine/tests.rs
@@ -15,6 +15,8 @@
 use crate::memory::budget::Budget;
 use crate::memory::fair_queue::Source;
 
+mod router_knowledge;
+
 /// An upstream whose nodes never answer; attempts are fully written if the field is true, and never written otherwise.
 struct UnresponsiveNodes(bool);
 
@@ -156,7 +158,7 @@
     let table = reload(&mut engine, vec![class("a", 0)], &[700.0]);
     assert_eq!(table, [("a".to_string(), 2)], "a class whose rules changed is a new one");
     assert_eq!(engine.settings.classes.len(), 3, "ids are never reused: open requests keep their rules");
-    assert!(engine.routers.len() <= MAX_ROUTERS);
+    assert!(engine.routers.len() <= routers::MAX_ROUTERS);
 }
 
 /// An upstream that records the maximum age of each attempt sent.
@@ -525,7 +527,7 @@
             elmtide_cells::Cell { name: "a".into(), boxes, weight: 1.0, source_share: 1.0, evacuate: false };
         let limits = elmtide_cells::Limits { fills_per_s: 1e-9, ..Default::default() };
         let layout = Layout::new(vec![cell], Vec::new(), limits).unwrap();
-        engine.handle(Input::Cells(Some(Box::new(layout))));
+        engine.handle(cells(Some(layout)));
         let now = engine.now;
         let cells = &mut engine.cells.as_mut().unwrap().cells;
         (0..100).for_each(|_| cells.record_fill(elmtide_cells::CellIx(0), now));
@@ -540,6 +542,12 @@
     }
 }
 
+/// A layout of cells, which must come into force.
+fn cells(layout: Option<Layout>) -> Input {
+    let done = Box::new(|result: Result<(), String>| assert!(result.is_ok(), "{result:?}"));
+    Input::Cells(CellsChange { layout: layout.map(Box::new), done })
+}
+
 /// A request that holds this many bytes of the budget.
 fn request_holding_bytes(budget: &Budget, bytes: usize, input: Input) -> Input {
     let Input::Request(mut incoming) = input else { panic!("a request") };
@@ -565,7 +573,7 @@
         max_request_ms: 60_000.0,
         ..Default::default()
     };
-    engine.handle(Input::Cells(Some(Box::new(Layout::new(vec![cell], Vec::new(), limits).unwrap()))));
+    engine.handle(cells(Some(Layout::new(vec![cell], Vec::new(), limits).unwrap())));
     engine.handle(request(1, 60_000.0, &answers));
     let first = upstream.events();
     let Some(UpstreamEvent::Sent(key, _)) = first.first().copied() else { panic!("{first:?}") };
--- a/front/src/engine/timers.rs
+++ b/front/src/engine/timers.rs
@@ -111,6 +111,7 @@
 
     fn sweep(&mut self) {
         self.update_endpoint_figures();
+        self.remove_idle_routers();
         self.upstream.close_idle();
         self.timers.schedule(self.now + SWEEP_INTERVAL_MS, Timer::Sweep);
         let open = self.exchanges.unanswered() as u64;
--- a/front/src/exchange.rs
+++ b/front/src/exchange.rs
@@ -368,6 +368,19 @@
     }
 }
 
+/// Another layout of cells, or none, which returns to one list and one budget.
+pub struct CellsChange {
+    pub layout: Option<Box<Layout>>,
+    /// Called once the layout is in force, or can't be.
+    pub done: Box<dyn FnOnce(Result<(), String>) + Send>,
+}
+
+impl fmt::Debug for CellsChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "CellsChange({} cells)", self.layout.as_ref().map_or(0, |layout| layout.cells().len()))
+    }
+}
+
 /// An input of the engine.
 #[derive(Debug)]
 pub enum Input {
@@ -401,8 +414,7 @@
         group: PurgeGroup,
         at: Ms,
     },
-    /// A new layout of cells; `None` returns to one list and one budget.
-    Cells(Option<Box<Layout>>),
+    Cells(CellsChange),
     /// Undoes the move of a shop.
     UndoMove(ShopId),
     /// The processes of this front, this one included, counted from `at` on; `None` if they could not be counted.
--- a/front/src/lifecycle/cells.rs
+++ b/front/src/lifecycle/cells.rs
@@ -3,12 +3,12 @@
 use std::path::Path;
 use std::sync::{Mutex, MutexGuard};
 
-use crossbeam_channel::Sender;
+use crossbeam_channel::{bounded, Sender};
 use elmtide::Ms;
 use elmtide_cells::ShopId;
 
 use crate::edge::cells::CellsConfig;
-use crate::exchange::Input;
+use crate::exchange::{CellsChange, Input};
 
 /// The cell configuration in force and the channel by which the engine receives a new one.
 pub struct CellsInForce {
@@ -60,7 +60,10 @@
             return Ok(false);
         }
         let layout = to.layout(self.longest)?.map(Box::new);
-        self.inputs.send(Input::Cells(layout)).map_err(|_| "the engine has stopped")?;
+        let (sender, result) = bounded(1);
+        let done = Box::new(move |result| drop(sender.send(result)));
+        self.inputs.send(Input::Cells(CellsChange { layout, done })).map_err(|_| "the engine has stopped")?;
+        result.recv().map_err(|_| "the engine has stopped")??;
         *now = to;
         Ok(true)
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,14 +52,19 @@
 //! assert_eq!(sent, Some((MemberId(10), MemberId(20))));
 //! ```
 
+mod health;
 mod interface;
 mod logic;
 mod open_requests;
 mod process_share;
+mod purges;
+mod server_history;
 
 pub use interface::*;
 pub use logic::{Ring, Router};
 pub use process_share::{ProcessShare, MAX_OBSERVATION_AGE_MS};
+pub use purges::PurgeLog;
+pub use server_history::ServerHistories;
 
 /// Runs the README's examples as tests.
 #[cfg(doctest)]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,12 +1,14 @@
 //! All routing decisions; each front runs one `Router`. The types are in src/interface.rs. Sections:
-//! constants, ring table, members and ramps, health, cold budgets, purges, requests. Times are in ms. The
+//! constants, ring table, members and ramps, outliers, cold budgets, requests. Times are in ms. The
 //! work of an answer is its sending time at the full rate of one transfer; a member whose link carries n
 //! transfers at that rate sends n ms of work per ms.
 
 use std::collections::{BTreeMap, VecDeque};
 
+use crate::health::{Health, EJECT_SHARE};
 use crate::interface::*;
 use crate::open_requests::{Attempt, Lookup, OpenRequest};
+use crate::purges::PurgeLog;
 
 // ---- Constants -------------------------------------------------------------------------------------------
 
@@ -25,11 +27,7 @@
 const OVERDUE_DEVIATIONS: f64 = 3.0; // mean deviations until an answer is overdue: 1 good answer in 50
 const LATE_MIN: f64 = 1.5; // multiple of the usual latency up to which an answer counts as good
 const LATE_MAX: f64 = 4.0; // multiple from which it counts as a failure; in between in proportion
-const EVIDENCE_DECAY_MS: Ms = 3000.0; // decays by e: a few requests per member, so short faults are forgotten
-const EJECT_FAILURES: f64 = 2.5; // weighted failures before a member can be ejected
-const EJECT_SHARE: f64 = 0.25; // failure share that ejects, added to PEER_FACTOR times the mean of the peers
 const PEER_FACTOR: f64 = 2.0; // peers this bad have a common cause, such as a full link or a slow origin
-const EJECTION_MS: Ms = 4000.0; // after an ejection half the evidence ejects again
 const POSSIBLE_HIT_CREDIT: f64 = 0.3; // for the source of an answer that may have been a hit: most are
 
 const COLD_SHARE_USED: f64 = 0.6; // used part of a cold budget: weights are rough, sizes and fronts vary
@@ -60,8 +58,6 @@
 
 const PURGE_MARGIN_MS: Ms = 2.0; // subtracted from the maximum age after a purge: clocks and rounding
 const MIN_COPY_AGE_MS: Ms = 1.0; // lowest maximum age that can be requested
-const PURGE_RETENTION_FACTOR: f64 = 1.5; // purges are kept for this multiple of their duration
-const DEFAULT_PURGE_MS: Ms = 10_000.0; // time until all caches have dropped old copies, if not set
 const KEEP_REMOVED_MS: Ms = 120_000.0; // a removed member is kept for late replies
 const SUBSCRIBE_RETRY_MS: Ms = 1000.0; // until a failed subscription is retried
 const SUBSCRIBE_TOKEN: Token = Token(u64::MAX);
@@ -242,21 +238,21 @@
 // ---- Members and ramps -----------------------------------------------------------------------------------
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Role {
+pub(crate) enum Role {
     Cache,
     Parent,
     Origin,
 }
 
 #[derive(Debug)]
-struct Member {
-    listing: Listing,
-    role: Role,
-    removed_at: Ms,
-    in_flight: f64, // attempts and fills of this front
-    health: Health,
-    cold_sent: VecDeque<(Ms, f64)>, // work sent in the last overload window while it is cold
-    sharers: Option<f64>,           // fronts that share its cold budget, where a fleet divides it
+pub(crate) struct Member {
+    pub(crate) listing: Listing,
+    pub(crate) role: Role,
+    pub(crate) removed_at: Ms,
+    pub(crate) in_flight: f64, // attempts and fills of this front
+    pub(crate) health: Health,
+    pub(crate) cold_sent: VecDeque<(Ms, f64)>, // work sent in the last overload window while it is cold
+    pub(crate) sharers: Option<f64>,           // fronts that share its cold budget, where a fleet divides it
 }
 
 impl Member {
@@ -273,9 +269,9 @@
 /// The decisions of one front. The crate documentation shows its use.
 #[derive(Debug, Default)]
 pub struct Router {
-    cfg: Settings,
-    started_at: Ms,
-    members: BTreeMap<MemberId, Member>,
+    pub(crate) cfg: Settings,
+    pub(crate) started_at: Ms,
+    pub(crate) members: BTreeMap<MemberId, Member>,
     cache_ring: Ring,
     parent_ring: Ring,
     former_rings: VecDeque<(Ms, Ring)>, // previous cache tables, newest first, and when each ended
@@ -283,8 +279,7 @@
     classes: Vec<ClassStats>,
     retries: f64,
     lent: bool, // retries are lent from a budget of all fronts and not earned
-    purges: BTreeMap<PurgeKey, Ms>,
-    purges_swept_at: Ms,
+    pub(crate) purges: PurgeLog,
     open: BTreeMap<RequestId, OpenRequest>,
     link_guard: Guard, // limits fills over an overloaded zone link; the next one limits origin fetches
     origin_guard: Guard,
@@ -295,13 +290,6 @@
     salt: u64,
 }
 
-/// Key of a purge. A purge of an object may come without the object's group.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum PurgeKey {
-    Object(ObjectId),
-    Group(PurgeGroup),
-}
-
 /// Decaying mean of bad outcomes, with hysteresis. While active, attempts to a shared resource are limited.
 #[derive(Debug, Default)]
 struct Guard {
@@ -371,6 +359,7 @@
             classes: cfg.classes.iter().map(stats).collect(),
             origin_window: Window { fronts: count(cfg.fronts), ..Window::default() },
             fill_window: Window { fronts: count(zone_fronts), ..Window::default() },
+            purges: PurgeLog::new(&cfg),
             cfg,
             started_at: now,
             next_ramp_step: f64::INFINITY,
@@ -573,27 +562,9 @@
 
     // ---- Purges ----------------------------------------
 
-    /// How long a purge is remembered.
-    fn purge_retention(&self) -> Ms {
-        valid(self.cfg.purge_duration).unwrap_or(DEFAULT_PURGE_MS) * PURGE_RETENTION_FACTOR
-    }
-
     fn on_purge(&mut self, now: Ms, object: Option<ObjectId>, group: PurgeGroup, ago: Ms) {
         let at = now - valid(Some(ago)).unwrap_or(0.0);
-        let oldest_kept = now - self.purge_retention();
-        if self.purges_swept_at < oldest_kept {
-            self.purges.retain(|_, at| *at >= oldest_kept);
-            self.purges_swept_at = now;
-        }
-        let key = object.map_or(PurgeKey::Group(group), PurgeKey::Object);
-        self.purges.entry(key).and_modify(|last| *last = last.max(at)).or_insert(at);
-    }
-
-    /// The last purge that a request's copy must be newer than, while older copies may exist.
-    fn last_purge_at(&self, request: &Request, now: Ms) -> Option<Ms> {
-        let last_of = |key| self.purges.get(&key).copied().unwrap_or(f64::NEG_INFINITY);
-        let at = last_of(PurgeKey::Group(request.group)).max(last_of(PurgeKey::Object(request.object)));
-        (now - at <= self.purge_retention()).then_some(at)
+        self.purges.record(object, group, at, now);
     }
 
     // ---- Request life cycle ----------------------------------------
@@ -664,7 +635,8 @@
         let Some(source) = former.or_else(|| self.pick_source(now, id, cache)) else { return false };
         let class = usize::from(request.class.0);
         let (mean, class_cfg) = (self.classes[class].work, &self.cfg.classes[class]);
-        let (purged_at, fresh) = (self.last_purge_at(&request, now), valid(class_cfg.fresh_for));
+        let purged_at = self.purges.last(request.object, request.group, now);
+        let fresh = valid(class_cfg.fresh_for);
         // A retry also accepts a stale copy: worth less than a fresh one and more than none. Under a guard a
         // parent is first asked for its own copy, and only as many requests go on to the origin as it answers
         // in time. This spares fill capacity and the origin, at the cost of one round trip per miss.
@@ -975,41 +947,3 @@
         }
     }
 }
-
-/// Decaying counts of a member's failures and successes, and its ejection.
-#[derive(Debug, Default)]
-struct Health {
-    failures: f64,
-    successes: f64,
-    updated_at: Ms,
-    ejected_until: Ms,
-}
-
-impl Health {
-    /// Adds evidence after decaying the earlier evidence.
-    fn add(&mut self, now: Ms, failures: f64, successes: f64) {
-        let decay = (-(now - self.updated_at).max(0.0) / EVIDENCE_DECAY_MS).exp();
-        (self.failures, self.successes, self.updated_at) =
-            (self.failures * decay + failures, self.successes * decay + successes, now);
-    }
-
-    /// Share of failures in the decayed evidence, with one assumed success.
-    fn share(&self, now: Ms) -> f64 {
-        let decay = (-(now - self.updated_at).max(0.0) / EVIDENCE_DECAY_MS).exp();
-        self.failures * decay / (self.failures * decay + self.successes * decay + 1.0)
-    }
-
-    fn ejected(&self, now: Ms) -> bool {
-        now < self.ejected_until
-    }
-
-    /// A recently ejected member keeps most of its evidence, so half as many failures eject it again.
-    fn add_failure(&mut self, now: Ms, amount: f64, may_eject: bool) {
-        self.add(now, amount, 0.0);
-        let min =
-            if now - self.ejected_until < EVIDENCE_DECAY_MS { EJECT_FAILURES / 2.0 } else { EJECT_FAILURES };
-        if self.failures >= min && self.share(now) > EJECT_SHARE && now >= self.ejected_until && may_eject {
-            self.ejected_until = now + EJECTION_MS;
-        }
-    }
-}
--- a/standins/src/bus.rs
+++ b/standins/src/bus.rs
@@ -25,6 +25,10 @@
         "weight": 4, "started_ms": 0})
 }
 
+fn unix_ms() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0)
+}
+
 impl Bus {
     pub fn start() -> std::io::Result<Bus> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
@@ -55,8 +59,12 @@
 
     /// A purge of an object, made now.
     pub fn purge(&self, object: u64) {
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0);
-        self.say(json!({"ban": {"url": format!("{object:016x}"), "ts": now}}));
+        self.say(json!({"ban": {"url": format!("{object:016x}"), "ts": unix_ms()}}));
+    }
+
+    /// A purge of a group, made now.
+    pub fn purge_group(&self, group: u16) {
+        self.say(json!({"ban": {"tag": group, "ts": unix_ms()}}));
     }
 
     /// All events so far, as a front is told at its start.
