Forget no purge while caches may hold older copies, however many are told

Callers got purged copies after a SIGHUP, or after cells were put in force, where over 4,096 purges had been told after that of their object.

Cause: the engine kept the last 4,096 tellings for routers made later and dropped the oldest; the routers' own maps had no bound. Ruled out: a router that loses purges by itself (without a change of the configuration the purge is heeded).

Change: one time for each object and group, kept for the retention. Above 4,096 of them the older half gives way to one time for all objects, before which no copy is used: fetches, but no purged copy, and bounded memory.

--- a/front/tests/purges.rs
+++ b/front/tests/purges.rs
@@ -24,6 +24,8 @@
 const OBJECT: u64 = 0x7f3a_9c21_e0b4_d655;
 const OTHER_OBJECT: u64 = 0x1b2c_3d4e_5f60_7182;
 const GROUP: u16 = 17;
+/// More purges than a front keeps one by one.
+const MANY: u64 = 5000;
 /// A purge must be heeded so long after it was told, with what the platform adds to each limit on sockets.
 const PURGE_SLACK: Duration = Duration::from_millis(1050);
 
@@ -183,6 +185,22 @@
     assert!(breaches.is_empty(), "{breaches:?}");
 }
 
+/// Guards against forgetting a purge because others were told after it.
+#[rstest]
+fn a_purge_before_many_others_is_heeded(#[values(Way::Reloaded, Way::CellsOn)] way: Way) {
+    let mut deployment = way.begin();
+    deployment.ask();
+    let purged_at = Instant::now();
+    deployment.bus.purge(OBJECT);
+    (1..=MANY).for_each(|object| deployment.bus.purge(object));
+    deployment.bus.purge(OTHER_OBJECT);
+    let is_last_heeded = || deployment.breaches(true, purged_at).is_empty();
+    assert!(until(is_last_heeded), "the purges are not heeded before the change either");
+    way.go(&mut deployment);
+    let breaches = deployment.breaches(true, purged_at);
+    assert!(breaches.is_empty(), "{breaches:?}");
+}
+
 /// A purge that the file does not have yet is heard of the bus within the time to heed it.
 #[test]
 fn a_purge_that_only_the_bus_knows_is_heeded_in_time() {
--- a/src/purges.rs
+++ b/src/purges.rs
@@ -1,6 +1,7 @@
 //! The purges that may still concern kept copies: when each object and each group was last purged.
 //!
-//! The number of objects and groups is bounded: where memory is full, the older half is forgotten.
+//! Invariant: no purge is forgotten within the retention. Where memory is full, the older half gives way to one time for
+//! all objects, before which every copy counts as purged: that costs fetches, but never serves a purged copy.
 
 use std::collections::BTreeMap;
 
@@ -22,6 +23,8 @@
     /// How long a purge is kept.
     retention: Ms,
     last: BTreeMap<PurgeKey, Ms>,
+    /// Every object counts as purged then.
+    all_purged_at: Ms,
     swept_at: Ms,
 }
 
@@ -37,7 +40,12 @@
 
     /// An empty log for caches of these settings.
     pub fn new(settings: &Settings) -> PurgeLog {
-        PurgeLog { retention: retention(settings), last: BTreeMap::new(), swept_at: f64::NEG_INFINITY }
+        PurgeLog {
+            retention: retention(settings),
+            last: BTreeMap::new(),
+            all_purged_at: f64::NEG_INFINITY,
+            swept_at: f64::NEG_INFINITY,
+        }
     }
 
     /// The same purges, kept for as long as other settings require.
@@ -47,11 +55,14 @@
 
     /// Records that copies made until `at` must not be served; without an object those of the entire group.
     pub fn record(&mut self, object: Option<ObjectId>, group: PurgeGroup, at: Ms, now: Ms) {
+        if at <= self.all_purged_at {
+            return;
+        }
         self.sweep(now);
         let key = object.map_or(PurgeKey::Group(group), PurgeKey::Object);
         self.last.entry(key).and_modify(|last| *last = last.max(at)).or_insert(at);
         if self.last.len() > Self::MAX_KEYS {
-            self.forget_older_half();
+            self.merge_older_half();
         }
     }
 
@@ -59,7 +70,7 @@
     pub fn last(&self, object: ObjectId, group: PurgeGroup, now: Ms) -> Option<Ms> {
         let last_of = |key| self.last.get(&key).copied().unwrap_or(f64::NEG_INFINITY);
         let at = last_of(PurgeKey::Group(group)).max(last_of(PurgeKey::Object(object)));
-        Some(at).filter(|at| now - at <= self.retention)
+        Some(at.max(self.all_purged_at)).filter(|at| now - at <= self.retention)
     }
 
     /// The number of objects and groups that are kept.
@@ -82,10 +93,11 @@
         }
     }
 
-    fn forget_older_half(&mut self) {
+    fn merge_older_half(&mut self) {
         let mut times: Vec<Ms> = self.last.values().copied().collect();
         let middle = times.len() / 2;
         let median = *times.select_nth_unstable_by(middle, f64::total_cmp).1;
+        self.all_purged_at = self.all_purged_at.max(median);
         self.last.retain(|_, at| *at > median);
     }
 }
