Apply what a reloaded file knows of the bus before its settings

Callers got purged copies after a SIGHUP whose file knows of a purge that the bus has not told yet, as where discovery is moved because the bus is silent.

Cause: a reload took settings, classes and the bus's address, and not `known`. Ruled out: the hand-over to the new router (the purge was in nothing that the process knew).

Change: the events of `known` that directly follow the last applied one are applied first; after a gap nothing is, so that no event is passed over.

--- a/front/src/client/bus.rs
+++ b/front/src/client/bus.rs
@@ -94,6 +94,14 @@
         Ok(())
     }
 
+    /// Applies those of the events that directly follow the last one that was applied.
+    pub fn apply_following(&self, known: Batch) -> Result<(), EngineStopped> {
+        match lock(&self.applier).apply_following(known).is_break() {
+            true => Err(EngineStopped),
+            false => Ok(()),
+        }
+    }
+
     /// Starts the thread that reads events until the engine stops, following changes of the bus address.
     pub fn start(self: Arc<Self>) -> std::io::Result<()> {
         spawn_at_start("bus", move || self.follow()).map(drop)
--- a/front/src/client/bus/applier.rs
+++ b/front/src/client/bus/applier.rs
@@ -72,6 +72,18 @@
         ControlFlow::Continue(())
     }
 
+    /// Applies the events of a batch that directly follow the last one; the bus brings what comes after a gap.
+    pub fn apply_following(&mut self, mut batch: Batch) -> ControlFlow<()> {
+        batch.events.sort_by_key(|(number, _)| *number);
+        for (number, event) in batch.events {
+            if number > self.last_event + 1 {
+                break;
+            }
+            self.apply(number, Ok(event))?;
+        }
+        self.flush()
+    }
+
     fn apply_valid(&mut self, event: &Event) -> ControlFlow<()> {
         let mut input = self.names.input(event);
         if let Input::MembersListed { event, .. } = &mut input {
--- a/front/src/lifecycle/reload.rs
+++ b/front/src/lifecycle/reload.rs
@@ -7,7 +7,7 @@
 
 use crossbeam_channel::Sender;
 
-use crate::client::bus::BusAddress;
+use crate::client::bus::{BusAddress, BusFollower};
 use crate::exchange::{Class, Input, Reconfiguration};
 use crate::lifecycle::config::{Config, Shape};
 use crate::memory::counters::Counters;
@@ -20,6 +20,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub bus: Arc<BusAddress>,
+    /// Applies what the new file knows of the bus.
+    pub follower: Arc<BusFollower>,
     pub counters: Arc<Counters>,
     /// The keys of the file at startup.
     pub shape: Shape,
@@ -70,6 +72,8 @@
             }
             Err(why) => eprintln!("reload: the classes stay as they were: {why}"),
         };
+        // Before the settings, so that the routers of the new settings know it.
+        self.follower.apply_following(config.known).map_err(|error| error.to_string())?;
         let retune =
             Reconfiguration { settings: config.settings, classes: config.classes, done: Box::new(done) };
         if self.inputs.send(Input::Reconfigure(Box::new(retune))).is_err() {
--- a/front/src/lifecycle/serve.rs
+++ b/front/src/lifecycle/serve.rs
@@ -94,7 +94,7 @@
     }
     follower.apply_known(std::mem::take(&mut config.known)).map_err(|e| e.to_string())?;
     let longest = Longest::new(config.longest_deadline);
-    follower.start().map_err(|e| format!("bus thread: {e}"))?;
+    follower.clone().start().map_err(|e| format!("bus thread: {e}"))?;
 
     let job_ids = Arc::new(open_job_ids(origin, &config.name, &longest));
     let bodies = Budget::new(config.memory / REQUEST_MEMORY_DIVISOR);
@@ -104,6 +104,7 @@
         name: config.name.clone(),
         listen: config.listen,
         bus: bus.clone(),
+        follower,
         counters: counters.clone(),
         shape: config.shape.clone(),
         inputs: inputs.clone(),
--- a/front/tests/purges.rs
+++ b/front/tests/purges.rs
@@ -216,3 +216,27 @@
     assert!(until(|| deployment.breaches(false, purged_at).is_empty()));
     assert!(ready_at.elapsed() < PURGE_SLACK, "{:?} after it was ready", ready_at.elapsed());
 }
+
+/// Guards against a reload that leaves out what its file knows of the bus: the bus says nothing here.
+#[test]
+fn a_purge_that_only_the_new_file_knows_is_heeded_after_a_reload() {
+    let mut deployment = Deployment::start(NO_CELLS, None);
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let file = deployment.front.folder.0.join("config.json");
+    let text = std::fs::read_to_string(&file).unwrap();
+    let before = text.replace(&deployment.bus.at.to_string(), &silent.local_addr().unwrap().to_string());
+    std::fs::write(&file, &before).unwrap();
+    deployment.front.again().unwrap();
+    deployment.at = deployment.front.edge("http", 0).unwrap();
+    deployment.ask();
+    let known = deployment.bus.known().to_string();
+    deployment.bus.purge(OBJECT);
+    let purged_at = Instant::now();
+    let after = before.replace(&known, &deployment.bus.known().to_string());
+    assert_ne!(after, before);
+    std::fs::write(&file, after).unwrap();
+    deployment.front.signal("HUP").unwrap();
+    deployment.front.log.wait("classes are in force", 0).unwrap();
+    let breaches = deployment.breaches(false, purged_at);
+    assert!(breaches.is_empty(), "{breaches:?}");
+}
