Reserve the memory of an HTTP answer when the engine gives it

Cause: the memory was reserved by the client's thread, so that answers which waited for hundreds of threads to get the processor counted nowhere. Ruled out: unread answers themselves (their bytes are reserved until written).

Change: the reservation is made with the answer; without one the answer is given up at once, with a wait if that does no harm.

--- a/front/src/server/http.rs
+++ b/front/src/server/http.rs
@@ -15,11 +15,12 @@
 use crate::exchange::{Answer, Class, Responder, Token};
 use crate::fleet::site_failover::{Client as PlannedClient, ClientDecision, SiteFailover};
 use crate::memory::budget::Held;
+use crate::memory::counters::Counters;
 use crate::memory::ledger::{Entered, Ledger};
 use crate::process::accept::accept_until;
 use crate::process::start_gate::StartGate;
 use crate::process::{clock, spawn};
-use crate::server::clients::{Client, Clients, OpenError, Protocol, REQUEST_TIMEOUT};
+use crate::server::clients::{AnswerMemory, Client, Clients, OpenError, Protocol, REQUEST_TIMEOUT};
 use crate::server::{Field, Intake, RequestFields, ValidRequest};
 use crate::wire::http::{self, Body, RequestHead};
 
@@ -105,6 +106,37 @@
     status: u16,
     headers: Vec<(&'static str, String)>,
     body: ResponseBody,
+    /// What is reserved for the body, if that was done when it came.
+    memory: Option<AnswerMemory>,
+}
+
+/// An answer of the engine, with the memory that is reserved for it until its client has it.
+struct HeldAnswer {
+    answer: Arc<Answer>,
+    memory: Option<AnswerMemory>,
+}
+
+impl HeldAnswer {
+    /// Reserves memory for an answer when the engine gives it, not when the client's thread gets to it: beside other work
+    /// hundreds of threads may wait for the processor with an answer each. Where there is no memory the answer is given up.
+    fn reserve(
+        answer: Answer,
+        client: &Arc<Client>,
+        may_be_repeated: bool,
+        counters: &Counters,
+    ) -> HeldAnswer {
+        let bytes = answer.body_bytes();
+        let memory = (bytes > 0).then(|| client.reserve_answer_memory(bytes)).flatten();
+        if bytes == 0 || memory.is_some() {
+            return HeldAnswer { answer: Arc::new(answer), memory };
+        }
+        counters.answers_shed.fetch_add(1, Relaxed);
+        HeldAnswer { answer: Arc::new(Answer::given_up(may_be_repeated)), memory: None }
+    }
+
+    fn failed() -> HeldAnswer {
+        HeldAnswer { answer: Arc::new(Answer::Failed), memory: None }
+    }
 }
 
 /// The body of a response.
@@ -134,6 +166,7 @@
             status,
             headers: vec![("Content-Type", "text/plain".into())],
             body: ResponseBody::Text(text),
+            memory: None,
         }
     }
 }
@@ -214,6 +247,9 @@
     /// Sends an answer with the memory that it takes reserved; where there is none, its client is told to return. False
     /// if the client did not take it.
     fn send_answer(&self, response: &Response, keep: bool, head_only: bool) -> bool {
+        if response.memory.is_some() {
+            return self.send(response, keep, head_only);
+        }
         let Some(_memory) = self.client.reserve_answer_memory(response.body.bytes().len()) else {
             self.context.intake.counters.answers_shed.fetch_add(1, Relaxed);
             let refused = refusal(500);
@@ -378,17 +414,18 @@
         };
         let deadline = request.deadline;
         let (to, answer) = bounded(1);
-        let id = self.context.intake.submit(
-            self.client.source(),
-            request,
-            Responder::new(move |answer| drop(to.try_send(Arc::new(answer)))),
-        );
-        let Some(answer) = self.wait(&answer, deadline) else {
+        let (client, counters) = (self.client.clone(), self.context.intake.counters.clone());
+        let may_be_repeated = !class.once;
+        let responder = Responder::new(move |answer| {
+            drop(to.try_send(HeldAnswer::reserve(answer, &client, may_be_repeated, &counters)))
+        });
+        let id = self.context.intake.submit(self.client.source(), request, responder);
+        let Some(HeldAnswer { answer, memory }) = self.wait(&answer, deadline, HeldAnswer::failed) else {
             // The client has disconnected: its request is abandoned.
             self.context.intake.requests.abandon(self.client.source(), id);
             return None;
         };
-        let mut response = response_for(&answer, conditional);
+        let mut response = Response { memory, ..response_for(&answer, conditional) };
         if matches!(*answer, Answer::Refused { .. }) && self.redirects_clients(&state) {
             response.headers.extend(self.alternative_address(&state));
         }
@@ -506,7 +543,7 @@
                 result
             }
         };
-        let answer = self.wait(&result.result, deadline);
+        let answer = self.wait(&result.result, deadline, || Arc::new(Answer::Failed));
         if answer.is_none() {
             if let Some(id) = context.ledger.leave(&key, &result) {
                 context.intake.requests.abandon_by_all(id);
@@ -516,13 +553,13 @@
     }
 
     /// Waits for the answer; `None` if the client disconnects first. After the deadline the answer is a failure.
-    fn wait(&self, answer: &Receiver<Arc<Answer>>, deadline: Ms) -> Option<Arc<Answer>> {
+    fn wait<T>(&self, answer: &Receiver<T>, deadline: Ms, failed: impl FnOnce() -> T) -> Option<T> {
         loop {
             match answer.recv_timeout(CLIENT_CHECK_INTERVAL) {
                 Ok(answer) => return Some(answer),
-                Err(RecvTimeoutError::Disconnected) => return Some(Arc::new(Answer::Failed)),
+                Err(RecvTimeoutError::Disconnected) => return Some(failed()),
                 Err(RecvTimeoutError::Timeout) if clock::steady_ms() > deadline + ANSWER_GRACE_MS => {
-                    return Some(Arc::new(Answer::Failed))
+                    return Some(failed())
                 }
                 Err(RecvTimeoutError::Timeout) if self.client_left() => return None,
                 Err(RecvTimeoutError::Timeout) => {}
@@ -581,7 +618,7 @@
                 headers.push(("X-Current", "1".into()));
             }
             let status = if copy.client_has_it && conditional { 304 } else { 200 };
-            Response { status, headers, body: ResponseBody::Copy(answer.clone()) }
+            Response { status, headers, body: ResponseBody::Copy(answer.clone()), memory: None }
         }
         Answer::Refused { wait_ms } => {
             let mut response = Response::text(503, "refused: trying again does no harm");
@@ -594,3 +631,6 @@
         Answer::Failed => Response::text(502, "failed"),
     }
 }
+
+#[cfg(test)]
+mod tests;
