Soak: draw cells and settings that are put in force around a purge

The class of the routers that were made without what is known: cells under new names, no cells, a SIGHUP with another limit, drawn apart from the other faults and once right after the purge.

--- a/front/tests/soak.rs
+++ b/front/tests/soak.rs
@@ -10,11 +10,12 @@
 use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::ops::Range;
+use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use common::hostile::{peak_memory_mb, read_request, signup, silent_reader, Flood, Leaving};
-use common::{call_management, start_managed_with_faults, Program};
+use common::{call_management, elmtide, start_under_faults, Program};
 use elmtide_rules::front_drain::{check_answers, check_drain, ClientConnection, Violation};
 use elmtide_standins::bus::{listed, Bus};
 use elmtide_standins::faults::{FailingCalls, Faults};
@@ -60,6 +61,10 @@
 /// Nine tenths of the limit that a configuration without one means.
 const USABLE_MEMORY_MB: f64 = 0.9 * 192.0;
 
+/// Changes of the configuration are drawn apart too.
+const CONFIGURATION_SEED: u64 = 0x636f_6e66_6967_7572;
+const EDGE: &str = "zone = \"edge.test.\"\n[[front]]\nname = \"n1\"\nhttp = [\"127.0.0.1:0\"]\n";
+
 /// A web server: what it asks, its connection, and those that have ended.
 struct Client {
     workload: Workload,
@@ -261,8 +266,31 @@
     }
 }
 
+/// Plans and applies this file of cells. A plan that a fault hinders changes nothing.
+fn apply_cells(folder: &Path, cells: &str) {
+    let run = |arguments: &[&str]| elmtide().args(arguments).current_dir(folder).output();
+    let files = ["--edge", "edge.toml", "--cells", "cells.toml", "--control", "control.sock"];
+    if std::fs::write(folder.join("cells.toml"), cells).is_err() {
+        return;
+    }
+    let planned = run(&[&["plan"], &files[..], &["--out", "p.json"]].concat());
+    let has_plan = planned.is_ok() && folder.join("p.json").exists();
+    if has_plan {
+        let _ = run(&["apply", "--control", "control.sock", "p.json"]);
+        let _ = std::fs::remove_file(folder.join("p.json"));
+    }
+}
+
 struct Run {
     random: StdRng,
+    /// Draws changes of the configuration.
+    changes: StdRng,
+    /// The attempts that the configuration file allows a request.
+    try_limit: u32,
+    /// How many cells have been named.
+    cells: u32,
+    /// When the purge was first seen to be heeded.
+    heeded_at: Option<Instant>,
     program: Program,
     management: SocketAddr,
     faults: Faults,
@@ -280,7 +308,7 @@
 impl Run {
     fn start(seed: u64) -> Run {
         let mut random = StdRng::seed_from_u64(seed);
-        let (mut program, management, faults) = start_managed_with_faults(seed);
+        let (mut program, management, faults) = start_under_faults(seed, &[], Some(EDGE));
         let own = TcpListener::bind("127.0.0.1:0").unwrap();
         let at = own.local_addr().unwrap();
         let node = Node::start("s-1", own, &Arc::new(Origin::default()), seed).unwrap();
@@ -308,6 +336,10 @@
         let crowd = Vec::new();
         Run {
             random,
+            changes: StdRng::seed_from_u64(seed ^ CONFIGURATION_SEED),
+            try_limit: 8,
+            cells: 0,
+            heeded_at: None,
             program,
             management,
             faults,
@@ -418,11 +450,40 @@
         ));
     }
 
+    /// Draws a change of the configuration by which another router comes to take requests.
+    fn reconfigure(&mut self) {
+        let (fault, cells) = match self.changes.random_range(0..6) {
+            0 | 1 => {
+                // A name that was not there before, so that a router is created.
+                self.cells += 1;
+                let name = format!("cell-{}", self.cells);
+                (name.clone(), format!("[[cell]]\nname = \"{name}\"\nboxes = [\"s-1\"]\n"))
+            }
+            2 => ("no-cells".into(), String::new()),
+            3 => {
+                let limit = self.changes.random_range(2..9);
+                let entry = |limit| format!("\"TryLimit\":{limit}");
+                self.program.spoil(&entry(self.try_limit), &entry(limit));
+                self.try_limit = limit;
+                self.program.signal("HUP");
+                return self.note(format!("HUP(TryLimit={limit})"));
+            }
+            _ => return,
+        };
+        let folder = self.program.folder.clone();
+        let applying = std::thread::spawn(move || apply_cells(&folder, &cells));
+        while !applying.is_finished() {
+            self.pass(Duration::from_millis(10), true);
+        }
+        self.note(fault);
+    }
+
     fn trouble(&mut self, faults: usize) {
         for _ in 0..faults {
             let span = Duration::from_millis(self.random.random_range(100..500));
             self.pass(span, true);
             self.inject();
+            self.reconfigure();
             if self.bus.purged_at.is_none() {
                 let fault = self.bus.inject();
                 self.note(fault);
@@ -438,8 +499,9 @@
         self.note("purge");
         self.bus.recover_and_purge();
         let end = Instant::now() + TOLD_WITHIN + PURGE_SLACK;
-        while Instant::now() < end && !self.is_purge_heeded() {
+        while Instant::now() < end && self.heeded_at.is_none() {
             self.pass(Duration::from_millis(20), true);
+            self.heeded_at = self.is_purge_heeded().then(Instant::now);
         }
     }
 
@@ -449,11 +511,11 @@
         last.is_some_and(|seen| Some(seen.at) > self.bus.purged_at && seen.max_age_ms.is_some())
     }
 
-    /// Requests that the node got with no limit on the age of a copy, and that their client wrote later than a purge must
-    /// be heeded. One that was written before may lie on a silent way until then.
+    /// Requests that the node got with no limit on the age of a copy, and that their client wrote later than a purge was
+    /// heeded or must be. One that was written before may lie on a silent way until then.
     fn unbounded_after_purge(&self) -> usize {
         let Some(purged_at) = self.bus.purged_at else { return 0 };
-        let heeded_by = purged_at + TOLD_WITHIN + PURGE_SLACK;
+        let heeded_by = self.heeded_at.unwrap_or(purged_at + TOLD_WITHIN + PURGE_SLACK);
         let connections = self.clients.iter().flat_map(Client::records);
         let late: BTreeSet<u64> = connections
             .flat_map(|connection| connection.requests)
@@ -543,6 +605,8 @@
     }
     let second = run.random.random_range(1..5);
     run.purge();
+    // A router that is made now must know of the purge.
+    run.reconfigure();
     run.trouble(second);
     run.end();
     run.judge()
