Heed purges whatever the clock of the front was when it started

Callers of a front whose clock was ahead when it started got purged copies: ahead by more than caches need to drop them, of every purge for as long as the process ran.

Cause: a purge's age was the smaller by steady line and wall clock; both begin with the wall clock at the start. Ruled out: the bus's delay (differences of 0 and behind hold), the hand-over to routers.

Change: the smallest age that a purge had lately is at least the difference of the clocks, and is taken off each age; what `known` has is compared as a whole. A timestamp from before the bus is known to have had no such event is not believed.

--- a/front/src/client/bus/answer.rs
+++ b/front/src/client/bus/answer.rs
@@ -96,7 +96,7 @@
 
     /// Asks for the events after the last one applied, and applies what the answer has.
     pub fn read_events(&mut self) -> Result<AfterAnswer, ReadError> {
-        let last_event = lock(self.applier).last_event();
+        let (last_event, asked_at) = (lock(self.applier).last_event(), Instant::now());
         let request = encode_read_request(&self.host, last_event, LONG_POLL_WAIT_MS);
         let mut stream = self.input.get_ref().stream;
         stream.write_all(request.as_bytes()).map_err(ReadError::Write)?;
@@ -105,7 +105,7 @@
         if head.status != 200 {
             return Err(ReadError::Status(head.status));
         }
-        self.apply_body(&head, last_event)
+        self.apply_body(&head, last_event, asked_at)
     }
 
     fn read_head(&mut self) -> Result<ResponseHead, ReadError> {
@@ -122,11 +122,16 @@
         }
     }
 
-    fn apply_body(&mut self, head: &ResponseHead, asked_from: u64) -> Result<AfterAnswer, ReadError> {
+    fn apply_body(
+        &mut self,
+        head: &ResponseHead,
+        asked_from: u64,
+        asked_at: Instant,
+    ) -> Result<AfterAnswer, ReadError> {
         let mut receiver = OrderedReceiver::new(self.applier, &self.deadline, asked_from);
         let mut body = BodyReader::new(&mut self.input, head.body);
         match read_batch(&mut body, MAX_EVENT_BYTES, &mut receiver) {
-            Ok(offset) if receiver.finish(offset).is_break() => Ok(AfterAnswer::EngineStopped),
+            Ok(offset) if receiver.finish(offset, asked_at).is_break() => Ok(AfterAnswer::EngineStopped),
             Ok(_) if head.keep_alive => Ok(AfterAnswer::KeepAlive),
             Ok(_) => Ok(AfterAnswer::Close),
             Err(BatchError::Stopped) => Ok(AfterAnswer::EngineStopped),
@@ -211,7 +216,7 @@
     }
 
     /// Applies the rest of an answer that is complete. `offset` is the number of the last event that the bus has.
-    fn finish(&mut self, offset: u64) -> ControlFlow<()> {
+    fn finish(&mut self, offset: u64, asked_at: Instant) -> ControlFlow<()> {
         let mut applier = lock(self.applier);
         for event in self.pending.release_all() {
             applier.apply(event.number, event.event)?;
@@ -219,6 +224,7 @@
         applier.flush()?;
         if self.pending.has_all() {
             applier.advance_to(offset);
+            applier.record_complete(asked_at);
         }
         applier.record_heard();
         ControlFlow::Continue(())
--- a/front/src/client/bus/answer/tests.rs
+++ b/front/src/client/bus/answer/tests.rs
@@ -35,7 +35,7 @@
         let mut receiver = OrderedReceiver::new(&self.applier, &deadline, self.last_event());
         match read_batch(Cursor::new(text), MAX_EVENT_BYTES, &mut receiver) {
             Ok(offset) => {
-                assert!(receiver.finish(offset).is_continue());
+                assert!(receiver.finish(offset, Instant::now()).is_continue());
                 Ok(())
             }
             Err(error) => {
--- a/front/src/client/bus/applier.rs
+++ b/front/src/client/bus/applier.rs
@@ -5,11 +5,14 @@
 use std::ops::ControlFlow;
 use std::sync::atomic::Ordering::Relaxed;
 use std::sync::Arc;
+use std::time::Instant;
 
 use crossbeam_channel::Sender;
+use elmtide::Ms;
 
 use super::list_changes::ListChanges;
 use super::names::NameTable;
+use crate::client::purge_ages::PurgeAges;
 use crate::client::start_times::StartTimes;
 use crate::exchange::Input;
 use crate::memory::counters::Counters;
@@ -20,7 +23,10 @@
 pub struct EventApplier {
     names: NameTable,
     start_times: StartTimes,
+    purge_ages: PurgeAges,
     last_event: u64,
+    /// All events up to the last one were told before, and all others after this moment.
+    complete_at: Option<Instant>,
     /// Changes that have not been passed to the engine yet.
     changes: ListChanges,
     inputs: Sender<Input>,
@@ -33,7 +39,9 @@
         EventApplier {
             names,
             start_times: StartTimes::default(),
+            purge_ages: PurgeAges::default(),
             last_event: 0,
+            complete_at: None,
             changes: ListChanges::default(),
             inputs,
             counters,
@@ -63,6 +71,7 @@
     /// Applies a batch that is complete.
     pub fn apply_batch(&mut self, mut batch: Batch) -> ControlFlow<()> {
         batch.events.sort_by_key(|(number, _)| *number);
+        self.observe_purges(&batch);
         for (number, event) in batch.events {
             self.apply(number, Ok(event))?;
         }
@@ -75,6 +84,7 @@
     /// Applies the events of a batch that directly follow the last one; the bus brings what comes after a gap.
     pub fn apply_following(&mut self, mut batch: Batch) -> ControlFlow<()> {
         batch.events.sort_by_key(|(number, _)| *number);
+        self.observe_purges(&batch);
         for (number, event) in batch.events {
             if number > self.last_event + 1 {
                 break;
@@ -84,10 +94,21 @@
         self.flush()
     }
 
+    /// Records the timestamps of purges that are known together, before the age of one of them is asked for.
+    fn observe_purges(&mut self, batch: &Batch) {
+        for (_, event) in &batch.events {
+            if let Event::BanUrl { ts, .. } | Event::BanTag { ts, .. } = event {
+                self.purge_ages.observe(clock::age_of(*ts), clock::steady_ms());
+            }
+        }
+    }
+
     fn apply_valid(&mut self, event: &Event) -> ControlFlow<()> {
         let mut input = self.names.input(event);
-        if let Input::MembersListed { event, .. } = &mut input {
-            self.start_times.convert(event, clock::to_steady_ms);
+        match &mut input {
+            Input::MembersListed { event, .. } => self.start_times.convert(event, clock::to_steady_ms),
+            Input::Purged { at, .. } => *at = self.local_purge_time(*at),
+            _ => {}
         }
         self.counters.bus_events.fetch_add(1, Relaxed);
         match self.changes.merge(input) {
@@ -102,6 +123,19 @@
         }
     }
 
+    /// When a purge with this timestamp was made, by this process's clock, or later.
+    fn local_purge_time(&mut self, timestamp: Ms) -> Ms {
+        let (own_age, now) = (clock::age_of(timestamp), clock::steady_ms());
+        let max_age = self.complete_at.map(|at| at.elapsed().as_secs_f64() * 1000.0);
+        self.purge_ages.observe(own_age, now);
+        now - self.purge_ages.age(own_age, max_age)
+    }
+
+    /// All events that the bus had when it was asked at this moment have been applied.
+    pub fn record_complete(&mut self, asked_at: Instant) {
+        self.complete_at = self.complete_at.max(Some(asked_at));
+    }
+
     /// Passes the changes that were merged to the engine. Returns `Break` once the engine has stopped.
     pub fn flush(&mut self) -> ControlFlow<()> {
         match self.changes.take() {
--- a/front/src/client/mod.rs
+++ b/front/src/client/mod.rs
@@ -3,6 +3,7 @@
 pub mod bus;
 pub mod connection;
 pub mod pool;
+mod purge_ages;
 pub mod resolver;
 pub mod shortage;
 pub mod start_times;
--- a/front/src/engine/endpoints.rs
+++ b/front/src/engine/endpoints.rs
@@ -24,8 +24,7 @@
 
     /// Passes a purge to the routers, and keeps it for routers created later.
     pub(super) fn apply_purge(&mut self, object: Option<ObjectId>, group: PurgeGroup, at: Ms) {
-        // Convert to the engine's clock: the timestamp comes from another machine's clock.
-        let ago = clock::age_of(at);
+        let ago = (self.now - at).max(0.0);
         self.knowledge.record_purge(object, group, self.now - ago, self.now);
         self.dispatch_to_all(&Event::Purged { object, group, ago });
     }
--- a/front/src/engine/tests/router_knowledge.rs
+++ b/front/src/engine/tests/router_knowledge.rs
@@ -382,7 +382,8 @@
     }
 
     fn purge(&mut self, object: Option<ObjectId>, group: PurgeGroup) {
-        self.engine.handle(Input::Purged { object, group, at: clock::steady_ms() });
+        let at = self.engine.now;
+        self.engine.handle(Input::Purged { object, group, at });
     }
 
     /// The subject is a process that starts now.
--- a/front/src/exchange.rs
+++ b/front/src/exchange.rs
@@ -408,7 +408,7 @@
         members_update: MembersUpdate,
         event: elmtide::Event,
     },
-    /// A purge made at the Unix time `at`.
+    /// A purge made at this time of the process's steady clock, or before.
     Purged {
         object: Option<ObjectId>,
         group: PurgeGroup,
--- a/front/tests/purges.rs
+++ b/front/tests/purges.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use elmtide_standins::bus::{listed, Bus};
+use elmtide_standins::faults::Faults;
 use elmtide_standins::front::{Folder, Front, Handed, Setup, SETTINGS};
 use elmtide_standins::node::{Node, Origin};
 use elmtide_standins::shopper::{get_for, Http};
@@ -240,3 +241,44 @@
     let breaches = deployment.breaches(false, purged_at);
     assert!(breaches.is_empty(), "{breaches:?}");
 }
+
+/// How far the front's clock is from that of the machine which stamps purges when the front starts.
+const HOUR_MS: i64 = 3_600_000;
+
+/// Guards against a front whose clock was stepped before it started, so that it takes a purge for older than it is, by a
+/// timestamp of another machine.
+#[rstest]
+fn a_purge_is_heeded_whatever_the_clock_at_the_start(
+    #[values(-HOUR_MS, -7000, -3000, -1000, 0, 1000, 3000, 7000, HOUR_MS)] difference_ms: i64,
+    #[values(false, true)] is_known_at_start: bool,
+) {
+    let (control, mut handed) = (Folder::new().unwrap(), Handed::new().unwrap());
+    let faults = Faults::new(&control.0, 1).unwrap();
+    faults.set_wall_clock_offset(difference_ms).unwrap();
+    handed.environment = faults.environment().into();
+    let mut deployment = Deployment::start(NO_CELLS, Some(handed));
+    deployment.ask();
+    let purged_at = Instant::now();
+    deployment.bus.purge(OBJECT);
+    if is_known_at_start {
+        deployment.front.kill();
+        deployment.front = start_front(&deployment.bus, NO_CELLS, deployment.handed.as_ref());
+        deployment.at = deployment.front.edge("http", 0).unwrap();
+    }
+    let told_at = Instant::now();
+    while !deployment.breaches(false, purged_at).is_empty() {
+        assert!(told_at.elapsed() < PURGE_SLACK, "not heeded {:?} after it was told", told_at.elapsed());
+    }
+    // Nor is it taken for so recent that copies made since then are of no use.
+    let until_next = Instant::now() + Duration::from_millis(500);
+    while Instant::now() < until_next {
+        deployment.ask();
+    }
+    let seen = deployment.nodes.iter().flat_map(Node::seen).filter(|s| s.thing == format!("{OBJECT:016x}"));
+    let newest = seen.max_by_key(|s| s.at).unwrap();
+    let (age, since_purge) = (newest.max_age_ms.unwrap(), newest.at.duration_since(purged_at));
+    assert!(
+        Duration::from_millis(age) + PURGE_SLACK > since_purge,
+        "{age} ms, {since_purge:?} after the purge"
+    );
+}
