Keep the machine of each listed server, however many others come and go

Cause: the engine kept which machine a member is on for 4,096 members, those that are gone included, and dropped the smallest ids. Ruled out: the view or its lease (other machines stay excluded).

Change: it keeps the members that are listed, and those that are gone as long as an attempt is in flight there.

--- a/front/src/engine/maintenance_client.rs
+++ b/front/src/engine/maintenance_client.rs
@@ -13,8 +13,6 @@
 use crate::exchange::MembersUpdate;
 use crate::process::clock;
 
-/// The most members whose machines are kept.
-const MAX_MEMBERS: usize = 4096;
 /// Time constant of the decay of a machine's load, in microseconds.
 const LOAD_DECAY_MICROS: f64 = 2_000_000.0;
 /// Work of a request of unknown size, in milliseconds at the full transfer rate.
@@ -28,7 +26,11 @@
     exclusions: MaintenanceExclusions,
     /// The machine that this front runs on, if the fleet's file lists it.
     own_machine: Option<MachineId>,
+    /// Of the members that are listed, and of those that are gone and have attempts in flight: nothing that matters for a
+    /// machine is forgotten, however many members come and go.
     machine_of_member: BTreeMap<MemberId, MachineId>,
+    /// Those of them that are gone.
+    gone: BTreeSet<MemberId>,
     /// Members' start times as stamped by the lists.
     stamped_starts: BTreeMap<MemberId, Option<Ms>>,
     /// Members whose machines were excluded at the last `refresh`.
@@ -52,6 +54,7 @@
             exclusions,
             own_machine,
             machine_of_member: BTreeMap::new(),
+            gone: BTreeSet::new(),
             stamped_starts: BTreeMap::new(),
             excluded: BTreeSet::new(),
             listed_machines: BTreeSet::new(),
@@ -74,17 +77,28 @@
 
     /// Updates which machine each listed member is on.
     pub fn update_members(&mut self, members_update: &MembersUpdate) {
-        for member in members_update.members.iter().filter(|m| !m.gone) {
+        if members_update.full {
+            self.gone = self.machine_of_member.keys().copied().collect();
+        }
+        for member in &members_update.members {
+            if member.gone {
+                self.gone.insert(member.member);
+                continue;
+            }
+            self.gone.remove(&member.member);
             let machine = self.exclusions.machine_at(&member.name, member.addr);
             self.machine_of_member.insert(member.member, machine);
             self.stamped_starts.insert(member.member, member.started_at);
         }
-        while self.machine_of_member.len() > MAX_MEMBERS {
-            self.machine_of_member.pop_first();
-        }
-        while self.stamped_starts.len() > MAX_MEMBERS {
-            self.stamped_starts.pop_first();
-        }
+    }
+
+    /// Forgets the members that are gone and have no attempts in flight.
+    fn forget_gone(&mut self, is_open_at: impl Fn(MemberId) -> bool) {
+        let (forgotten, kept) = std::mem::take(&mut self.gone).into_iter().partition(|m| !is_open_at(*m));
+        self.gone = kept;
+        let forgotten: BTreeSet<MemberId> = forgotten;
+        self.machine_of_member.retain(|member, _| !forgotten.contains(member));
+        self.stamped_starts.retain(|member, _| !forgotten.contains(member));
     }
 
     /// Whether the lease on the view has begun or expired since the last `refresh`, so that the exclusions may be
@@ -166,6 +180,7 @@
         has_open_requests: bool,
     ) -> MaintenanceReport {
         self.decay_load();
+        self.forget_gone(&is_open_at);
         let exclusions = &self.exclusions;
         let is_in_use = |m: MachineId| exclusions.knows(m) && !exclusions.stage(m).is_some_and(is_released);
         // Work from before a machine's release says nothing about the machine that returns.
--- a/front/src/engine/tests/router_knowledge.rs
+++ b/front/src/engine/tests/router_knowledge.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 use std::net::UdpSocket;
 
-use elmtide::KindId;
+use elmtide::{KindId, ZoneId};
 use elmtide_budgets::{BudgetKind, Epoch, LeaseSettings};
 use elmtide_cells::{Cell, Limits, ShopId, ShopRule};
 use elmtide_maintenance::report::{LeasedMaintenanceView, MaintenanceView};
@@ -215,6 +215,7 @@
     next_id: u32,
     reloads: u32,
     answers: Answers,
+    reports: crossbeam_channel::Receiver<crate::fleet_link::EngineReport>,
 }
 
 impl Scenario {
@@ -232,14 +233,15 @@
         let kinds = if with_slow_start_budget { vec![BudgetKind::SlowStartCache] } else { Vec::new() };
         let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
         let waker = Waker::new(&socket, socket.local_addr().unwrap()).unwrap();
-        let (reports, _) = unbounded();
-        let budgets = BudgetClient::new(lease, Vec::new(), kinds, reports, waker, None);
+        let (report_sender, reports) = unbounded();
+        let budgets = BudgetClient::new(lease, Vec::new(), kinds, report_sender, waker, None);
         let engine = engine
             .with_class_names(vec!["a".into()])
             .with_budgets(Some(Box::new(budgets)))
             .with_maintenance(Some(Box::new(MaintenanceClient::new(exclusions, None))));
         let engine = if is_replacement { engine.with_other_processes() } else { engine };
-        let mut scenario = Scenario { engine, sent, next_id: 1, reloads: 0, answers: Answers::default() };
+        let mut scenario =
+            Scenario { engine, sent, next_id: 1, reloads: 0, answers: Answers::default(), reports };
         scenario.put_under_maintenance(1, None);
         scenario.list(true, &[1, 2, 3, 4], Availability::Ready, None);
         scenario
@@ -252,10 +254,21 @@
 
     /// Lists servers, all with this availability and start; a full list has the origin too.
     fn list(&mut self, full: bool, servers: &[u64], availability: Availability, started_at: Option<Ms>) {
+        self.list_in_zone(ZoneId(0), full, servers, availability, started_at);
+    }
+
+    fn list_in_zone(
+        &mut self,
+        zone: ZoneId,
+        full: bool,
+        servers: &[u64],
+        availability: Availability,
+        started_at: Option<Ms>,
+    ) {
         let listing = |id: u64, kind: u16| Listing {
             member: MemberId(id),
             weight: 1.0,
-            zone: Default::default(),
+            zone,
             kind: KindId(kind),
             cell: Default::default(),
             started_at,
@@ -558,3 +571,38 @@
     }
     assert_eq!(scenario.engine.reconfigure_cells(Some(Box::new(layout(servers)))), Ok(()));
 }
+
+/// Guards against forgetting which machine a server is on after many others have been replaced: the machine would be used
+/// again while it is worked on, and be reported as empty while a request is open there.
+#[test]
+fn a_machine_under_maintenance_is_known_however_many_servers_are_replaced() {
+    let mut scenario = Scenario::new(false, false);
+    let open = (0..PROBES).flat_map(|_| scenario.ask(SHOPS[0], None, PurgeGroup(0))).collect::<Vec<Sent>>();
+    let open = open.iter().find(|sent| sent.server == SUBJECT).copied().unwrap();
+    scenario.put_under_maintenance(2, Some(Stage::Draining));
+    for round in 1..=6 {
+        let others: Vec<u64> = (1..=1000).map(|other| round * 10_000 + other).collect();
+        scenario.list_in_zone(ZoneId(9), false, &others, Availability::Ready, None);
+        scenario.list_in_zone(ZoneId(9), false, &others, Availability::Gone, None);
+        scenario.engine.report_to_fleet();
+    }
+    let sent = scenario.ask_many(PROBES, |_| Outcome::Ok);
+    assert_eq!(sent.iter().filter(|sent| sent.server == SUBJECT).count(), 0, "requests to the machine");
+    let machine = MachineId::from_name("s-1");
+    let drained = |scenario: &mut Scenario| {
+        while scenario.reports.try_recv().is_ok() {}
+        scenario.engine.report_to_fleet();
+        let report = scenario.reports.try_recv().unwrap();
+        report.maintenance.unwrap().drained.contains(&machine)
+    };
+    assert!(!drained(&mut scenario), "a request is open there");
+    // Its server is gone, and the request is still open.
+    scenario.list(false, &[SUBJECT.0], Availability::Gone, None);
+    assert!(!drained(&mut scenario), "a request is open there");
+    let all = scenario.sent.0.lock().unwrap().clone();
+    for sent in all.iter().filter(|sent| sent.server == open.server) {
+        let end = AttemptEnd::ConnectionFailed(Progress::FullyWritten);
+        scenario.engine.handle(Input::AttemptEnded { key: sent.key, end });
+    }
+    assert!(drained(&mut scenario), "nothing is open there any more");
+}
