Update the lists of cells only for changes that concern them

Cause: with cells in force each change of the fleet made every cell's list anew from all endpoints, also those of other locations and those that are gone. The hand-over to replaced routers did the same for each of them. Ruled out: the bus's thread (3 ticks of 10), a full channel (it drains by itself).

Change: a change is passed on to cells only if it is of a server that a cell has, had or shares.

--- a/front/src/engine/cells.rs
+++ b/front/src/engine/cells.rs
@@ -89,6 +89,17 @@
     Ok(scopes.iter().map(|scope| (scope.clone(), specify(scope))).collect())
 }
 
+/// Whether all cells use the server.
+fn is_shared(listing: &Listing, settings: &Settings) -> bool {
+    Some(listing.kind) == settings.parent_kind || Some(listing.kind) == settings.origin_kind
+}
+
+/// The cell that has the endpoint by its name or, if none has, by its address.
+fn cell_of(layout: &Layout, endpoint: &Endpoint) -> Option<CellIx> {
+    let by_address = || layout.cell_of_node(&endpoint.addr?.to_string());
+    layout.cell_of_node(&endpoint.name).or_else(by_address)
+}
+
 /// The listings of the servers of each scope, and the number of ready boxes of each cell. A cache node in no cell is
 /// left out.
 pub fn lists<'a>(
@@ -97,21 +108,18 @@
     endpoints: &EndpointSet,
     settings: &Settings,
 ) -> (Vec<Vec<Listing>>, Vec<usize>) {
-    let is_shared =
-        |l: &Listing| Some(l.kind) == settings.parent_kind || Some(l.kind) == settings.origin_kind;
     let mut ready = vec![0; layout.cells().len()];
     let mut lists: Vec<Vec<Listing>> = scopes.clone().map(|_| Vec::new()).collect();
-    for Endpoint { listing, name, addr } in endpoints.effective_endpoints() {
-        let listing = &listing;
-        if is_shared(listing) {
+    for endpoint in endpoints.effective_endpoints() {
+        let listing = &endpoint.listing;
+        if is_shared(listing, settings) {
             lists.iter_mut().for_each(|list| list.push(*listing));
             continue;
         }
-        let by_address = || layout.cell_of_node(&addr.as_ref()?.to_string());
-        let Some(cell) = layout.cell_of_node(&name).or_else(by_address) else { continue };
+        let Some(cell) = cell_of(layout, &endpoint) else { continue };
         let boxes = &layout.cells()[usize::from(cell.0)].boxes;
-        let addr = addr.map(|a| a.to_string());
-        let index = boxes.iter().position(|b| **b == *name || Some(b) == addr.as_ref());
+        let addr = endpoint.addr.map(|a| a.to_string());
+        let index = boxes.iter().position(|b| **b == *endpoint.name || Some(b) == addr.as_ref());
         for (scope, list) in scopes.clone().zip(&mut lists) {
             let in_scope = scope.shard.as_ref().is_none_or(|s| index.is_some_and(|p| s.contains(&p)));
             if scope.cell == cell && in_scope {
@@ -147,6 +155,11 @@
         find(&shard).or_else(|| find(&None)).map_or(0, |(_, router)| *router)
     }
 
+    /// Whether the endpoint is in a cell or shared by all.
+    pub fn serves(&self, endpoint: &Endpoint, settings: &Settings) -> bool {
+        is_shared(&endpoint.listing, settings) || cell_of(self.cells.layout(), endpoint).is_some()
+    }
+
     /// The cell that a router serves; `None` if the layout does not use the router.
     pub fn cell(&self, router: usize) -> Option<CellIx> {
         self.scopes.iter().find(|(_, index)| *index == router).map(|(scope, _)| scope.cell)
--- a/front/src/engine/endpoint_set.rs
+++ b/front/src/engine/endpoint_set.rs
@@ -105,6 +105,11 @@
         endpoint.is_some_and(|e| self.effective(&e.listing).availability == Availability::Ready)
     }
 
+    /// The endpoint as last listed.
+    pub fn get(&self, member: MemberId) -> Option<&Endpoint> {
+        self.endpoints.get(&member)
+    }
+
     /// The member's kind, if it is known.
     pub fn kind(&self, member: MemberId) -> Option<KindId> {
         self.endpoints.get(&member).map(|endpoint| endpoint.listing.kind)
--- a/front/src/engine/endpoints.rs
+++ b/front/src/engine/endpoints.rs
@@ -5,6 +5,7 @@
 use elmtide::{Event, ListUpdate, Ms, ObjectId, Outcome, PurgeGroup};
 use elmtide_cells::CellIx;
 
+use super::routers::ChangedMembers;
 use super::{cells, Engine};
 use crate::exchange::{MembersUpdate, Upstream};
 use crate::process::clock;
@@ -52,14 +53,28 @@
 
     /// Gives every router what a list changes for it. Replaced routers still decide on their open requests.
     fn distribute_list(&mut self, event: &Event) {
+        let changed = ChangedMembers::of(event);
         for router in self.routers.indices() {
             if self.routers.uses_all_servers(router) {
                 self.dispatch(router, event.clone());
-            } else if let Some(list) = self.routers.list_of_replaced(router, &self.knowledge) {
+            } else if let Some(list) = self.routers.list_of_replaced(router, &changed, &self.knowledge) {
                 self.dispatch(router, cells::full_list(list));
             }
         }
-        self.update_cell_endpoints();
+        if self.concerns_cells(&changed) {
+            self.update_cell_endpoints();
+        }
+    }
+
+    /// Whether the lists of cells may change with these members. A cell's list is made from those of the whole fleet, most of
+    /// whose changes concern other locations.
+    fn concerns_cells(&self, changed: &ChangedMembers) -> bool {
+        let Some(cells) = &self.cells else { return false };
+        let ChangedMembers::Some(members) = changed else { return true };
+        members.iter().any(|member| {
+            let endpoint = self.knowledge.endpoints.get(*member);
+            self.routers.lists(*member) || endpoint.is_some_and(|e| cells.serves(e, &self.settings))
+        })
     }
 
     /// Withdraws unwritten attempts that a member that is no longer ready would serve or fill, so that they go
--- a/front/src/engine/routers.rs
+++ b/front/src/engine/routers.rs
@@ -47,6 +47,25 @@
     now: Ms,
 }
 
+/// The members that an update of the list concerns.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ChangedMembers {
+    All,
+    Some(Vec<MemberId>),
+}
+
+impl ChangedMembers {
+    /// Those of a list event.
+    pub fn of(event: &Event) -> ChangedMembers {
+        match event {
+            Event::List { update: ListUpdate::Delta, entries } => {
+                ChangedMembers::Some(entries.iter().map(|listing| listing.member).collect())
+            }
+            _ => ChangedMembers::All,
+        }
+    }
+}
+
 /// Whether a router takes requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Role {
@@ -184,16 +203,31 @@
         }
     }
 
-    /// The full list of a replaced router that uses a part of the servers: those that it had, as they are now.
-    pub fn list_of_replaced(&self, index: usize, knowledge: &RouterKnowledge) -> Option<Vec<Listing>> {
+    /// The full list of a replaced router that uses a part of the servers, if any of these is among them: those that it
+    /// had, as they are now.
+    pub fn list_of_replaced(
+        &self,
+        index: usize,
+        changed: &ChangedMembers,
+        knowledge: &RouterKnowledge,
+    ) -> Option<Vec<Listing>> {
         let slot = self.slot(index)?;
-        if slot.role == Role::Current || slot.scope == RouterScope::AllServers {
+        let is_concerned = match changed {
+            ChangedMembers::All => true,
+            ChangedMembers::Some(members) => members.iter().any(|member| slot.listed.contains(member)),
+        };
+        if slot.role == Role::Current || slot.scope == RouterScope::AllServers || !is_concerned {
             return None;
         }
         let members: Vec<MemberId> = slot.listed.iter().copied().collect();
         Some(knowledge.endpoints.effective_listings(&members))
     }
 
+    /// Whether the last full list of any router has this server.
+    pub fn lists(&self, member: MemberId) -> bool {
+        self.slots.iter().flatten().any(|slot| slot.listed.contains(&member))
+    }
+
     /// Whether the router uses all servers.
     pub fn uses_all_servers(&self, index: usize) -> bool {
         self.slot(index).is_some_and(|slot| slot.scope == RouterScope::AllServers)
