Leave the fleet after the last answer, and release machines only when idle

Cause: at SIGTERM a front left the fleet before it waited for its open requests, and nobody asks who has left; for its own machine it reported that no request was open, not that none may come.

Change: leadership is handed over at SIGTERM, the fleet is left after the last answer and only once the engine has no request and no attempt open and admits none. The same is asked of a front's own machine.

--- a/front/src/engine/budget_client.rs
+++ b/front/src/engine/budget_client.rs
@@ -212,16 +212,16 @@
             FleetUpdate::Grant(grant) => self.ledger.apply_grant(grant, self.now),
             FleetUpdate::Minimums(minimums) => self.ledger.apply_minimums(minimums, self.now),
             FleetUpdate::Reset => self.reset(),
-            FleetUpdate::Maintenance(_) => {}
-            FleetUpdate::Close(confirmation) => {
-                self.ledger.close(self.now);
-                let _ = confirmation.try_send(());
-                return;
-            }
+            FleetUpdate::Maintenance(_) | FleetUpdate::Close(_) => {}
         }
         self.waker.wake();
     }
 
+    /// Stops spending leased quotas.
+    pub fn close(&mut self) {
+        self.ledger.close(self.now);
+    }
+
     /// Wakes the fleet's thread.
     pub fn wake_fleet(&self) {
         self.waker.wake();
--- a/front/src/engine/maintenance_client.rs
+++ b/front/src/engine/maintenance_client.rs
@@ -169,7 +169,7 @@
     }
 
     /// The report to send with the next lease request. `is_open_at` tells whether a member has attempts in flight,
-    /// `has_open_requests` whether any request is open.
+    /// `is_front_idle` whether this front has nothing open and takes no more requests.
     pub fn report(
         &mut self,
         listed: &[Listing],
@@ -177,7 +177,7 @@
         now: Ms,
         is_failing: impl Fn(MemberId) -> bool,
         is_open_at: impl Fn(MemberId) -> bool,
-        has_open_requests: bool,
+        is_front_idle: bool,
     ) -> MaintenanceReport {
         self.decay_load();
         self.forget_gone(&is_open_at);
@@ -241,7 +241,7 @@
         };
         let drained =
             self.exclusions.excluded_by_view().filter(|machine| match Some(*machine) == self.own_machine {
-                true => !has_open_requests,
+                true => is_front_idle,
                 false => !members_on(*machine).any(&is_open_at),
             });
         MaintenanceReport {
--- a/front/src/engine/mod.rs
+++ b/front/src/engine/mod.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crossbeam_channel::{Receiver, RecvTimeoutError};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use elmtide::{Action, Event, MemberId, Ms, Outcome, ProcessShare, Settings};
 
 mod admission;
@@ -75,6 +75,8 @@
     sends_clients_away: bool,
     /// Budgets shared by all fronts, where a fleet is configured.
     budgets: Option<Box<BudgetClient>>,
+    /// The fleet's thread waits to leave: confirmed once nothing is open.
+    pending_close: Option<Sender<()>>,
     /// Machines under maintenance, where the fleet's file lists machines.
     maintenance: Option<Box<MaintenanceClient>>,
 }
@@ -136,6 +138,7 @@
             class_names: Vec::new(),
             sends_clients_away: false,
             budgets: None,
+            pending_close: None,
             maintenance: None,
         }
     }
@@ -266,6 +269,7 @@
             Input::RequestsWaiting | Input::Stop => {}
         }
         self.finish_ended_attempts();
+        self.close_if_idle();
     }
 }
 
--- a/front/src/engine/tests.rs
+++ b/front/src/engine/tests.rs
@@ -15,6 +15,7 @@
 use crate::memory::budget::Budget;
 use crate::memory::fair_queue::Source;
 
+mod leaving;
 mod router_knowledge;
 
 /// An upstream whose nodes never answer; attempts are fully written if the field is true, and never written otherwise.
--- a/front/src/engine/tests/router_knowledge.rs
+++ b/front/src/engine/tests/router_knowledge.rs
@@ -129,15 +129,15 @@
 
 /// An attempt that was sent.
 #[derive(Clone, Copy, Debug)]
-struct Sent {
-    key: AttemptKey,
+pub(super) struct Sent {
+    pub(super) key: AttemptKey,
     server: MemberId,
     max_age: Option<Ms>,
 }
 
 /// An upstream that records what is sent.
 #[derive(Clone, Default)]
-struct Recorder(Arc<Mutex<Vec<Sent>>>);
+pub(super) struct Recorder(Arc<Mutex<Vec<Sent>>>);
 
 impl Upstream for Recorder {
     fn send(&mut self, order: &AttemptOrder) -> Result<(), SendError> {
@@ -209,8 +209,8 @@
 }
 
 /// A front, and what it was told and asked.
-struct Scenario {
-    engine: Engine<Recorder>,
+pub(super) struct Scenario {
+    pub(super) engine: Engine<Recorder>,
     sent: Recorder,
     next_id: u32,
     reloads: u32,
@@ -219,7 +219,16 @@
 }
 
 impl Scenario {
-    fn new(is_replacement: bool, with_slow_start_budget: bool) -> Scenario {
+    pub(super) fn new(is_replacement: bool, with_slow_start_budget: bool) -> Scenario {
+        Scenario::start(is_replacement, with_slow_start_budget, None)
+    }
+
+    /// A front that runs on a machine of this name.
+    pub(super) fn on_machine(name: &str) -> Scenario {
+        Scenario::start(false, false, Some(MachineId::from_name(name)))
+    }
+
+    fn start(is_replacement: bool, with_slow_start_budget: bool, own: Option<MachineId>) -> Scenario {
         let sent = Recorder::default();
         let engine = Engine::new(settings(), 7, sent.clone(), Arc::default());
         let lease = LeaseSettings {
@@ -238,7 +247,7 @@
         let engine = engine
             .with_class_names(vec!["a".into()])
             .with_budgets(Some(Box::new(budgets)))
-            .with_maintenance(Some(Box::new(MaintenanceClient::new(exclusions, None))));
+            .with_maintenance(Some(Box::new(MaintenanceClient::new(exclusions, own))));
         let engine = if is_replacement { engine.with_other_processes() } else { engine };
         let mut scenario =
             Scenario { engine, sent, next_id: 1, reloads: 0, answers: Answers::default(), reports };
@@ -294,7 +303,7 @@
     }
 
     /// A view in which the subject's machine is at this stage, or no machine is disrupted.
-    fn put_under_maintenance(&mut self, epoch: u64, stage: Option<Stage>) {
+    pub(super) fn put_under_maintenance(&mut self, epoch: u64, stage: Option<Stage>) {
         let machine = MachineId::from_name("s-1");
         let disrupted = stage.map(|stage| DisruptedMachine { machine, address: None, stage });
         let view = MaintenanceView {
@@ -334,7 +343,7 @@
     }
 
     /// Sends a request of a shop and returns its attempts.
-    fn ask(&mut self, shop: &str, object: Option<ObjectId>, group: PurgeGroup) -> Vec<Sent> {
+    pub(super) fn ask(&mut self, shop: &str, object: Option<ObjectId>, group: PurgeGroup) -> Vec<Sent> {
         let id = self.next_id;
         self.next_id += 1;
         let before = self.sent.0.lock().unwrap().len();
@@ -368,6 +377,14 @@
         all
     }
 
+    /// Whether the front reports the subject's machine as drained.
+    pub(super) fn reports_drained(&mut self) -> bool {
+        while self.reports.try_recv().is_ok() {}
+        self.engine.report_to_fleet();
+        let report = self.reports.try_recv().unwrap();
+        report.maintenance.unwrap().drained.contains(&MachineId::from_name("s-1"))
+    }
+
     fn tell(&mut self, knowledge: Knowledge) {
         match knowledge {
             Knowledge::PurgedObject => self.purge(Some(PURGED), PurgeGroup(0)),
@@ -588,21 +605,14 @@
     }
     let sent = scenario.ask_many(PROBES, |_| Outcome::Ok);
     assert_eq!(sent.iter().filter(|sent| sent.server == SUBJECT).count(), 0, "requests to the machine");
-    let machine = MachineId::from_name("s-1");
-    let drained = |scenario: &mut Scenario| {
-        while scenario.reports.try_recv().is_ok() {}
-        scenario.engine.report_to_fleet();
-        let report = scenario.reports.try_recv().unwrap();
-        report.maintenance.unwrap().drained.contains(&machine)
-    };
-    assert!(!drained(&mut scenario), "a request is open there");
+    assert!(!scenario.reports_drained(), "a request is open there");
     // Its server is gone, and the request is still open.
     scenario.list(false, &[SUBJECT.0], Availability::Gone, None);
-    assert!(!drained(&mut scenario), "a request is open there");
+    assert!(!scenario.reports_drained(), "a request is open there");
     let all = scenario.sent.0.lock().unwrap().clone();
     for sent in all.iter().filter(|sent| sent.server == open.server) {
         let end = AttemptEnd::ConnectionFailed(Progress::FullyWritten);
         scenario.engine.handle(Input::AttemptEnded { key: sent.key, end });
     }
-    assert!(drained(&mut scenario), "nothing is open there any more");
+    assert!(scenario.reports_drained(), "nothing is open there any more");
 }
--- a/front/src/engine/timers.rs
+++ b/front/src/engine/timers.rs
@@ -103,6 +103,7 @@
             Timer::ConnectionCheck => {
                 self.upstream.check_connections();
                 self.cut_off_open_requests();
+                self.close_if_idle();
                 self.timers.schedule(self.now + CONNECTION_CHECK_INTERVAL_MS, Timer::ConnectionCheck);
             }
             Timer::Sweep => self.sweep(),
--- a/front/src/fleet/operator.rs
+++ b/front/src/fleet/operator.rs
@@ -29,6 +29,8 @@
 
 /// A command from another thread of the process to the fleet's thread.
 pub enum RunnerCommand {
+    /// Let another front lead the fleet, if this one does.
+    TransferLeadership,
     /// Leave the fleet, then reply.
     Leave(Sender<()>),
     /// Remove a front that is not in the list.
--- a/front/src/fleet/runner.rs
+++ b/front/src/fleet/runner.rs
@@ -203,6 +203,7 @@
         while let Ok(command) = self.channels.commands.try_recv() {
             let now = clock::both_clocks();
             match command {
+                RunnerCommand::TransferLeadership => self.node.transfer_leadership(now),
                 RunnerCommand::Leave(reply) => {
                     self.departure_reply = Some(reply);
                     self.node.transfer_leadership(now);
--- a/front/src/fleet/start.rs
+++ b/front/src/fleet/start.rs
@@ -68,8 +68,15 @@
 const LEAVE_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(500);
 
 impl Fleet {
-    /// Leaves the fleet in order: the engine stops spending leased quotas, then the node returns them and leaves. Each
-    /// step waits for at most [`LEAVE_TIMEOUT`].
+    /// The process will end: another front leads from now on. Requests that are open still rest on this front's part.
+    pub fn prepare_to_leave(&self) {
+        if self.commands.send(RunnerCommand::TransferLeadership).is_ok() {
+            self.waker.wake();
+        }
+    }
+
+    /// Leaves the fleet in order: the engine stops spending leased quotas once nothing is open, then the node returns them
+    /// and leaves. Each step waits for at most [`LEAVE_TIMEOUT`]; a front that can't leave counts as one that failed.
     pub fn leave(&self, inputs: &Sender<Input>) {
         let (confirm, closed) = bounded(1);
         let close = crate::fleet_link::FleetUpdate::Close(confirm);
--- a/front/src/fleet_link.rs
+++ b/front/src/fleet_link.rs
@@ -17,7 +17,7 @@
     Maintenance(elmtide_maintenance::LeasedMaintenanceView),
     /// All quotas held belong to another incarnation of this front and are void.
     Reset,
-    /// Stop spending leased quotas, then confirm it.
+    /// Stop spending leased quotas once no request rests on one, then confirm it.
     Close(Sender<()>),
 }
 
--- a/front/src/lifecycle/serve.rs
+++ b/front/src/lifecycle/serve.rs
@@ -147,12 +147,16 @@
         second_front.end(origin);
     }
     if let Some(fleet) = &fleet {
-        fleet.leave(&inputs);
+        fleet.prepare_to_leave();
     }
     wait_until_answered(&counters, &longest, &stopped)?;
     if let Some(second_front) = &second_front {
         second_front.seal_ledger();
     }
+    // Not earlier: machines and budgets that open requests rest on would be given to others.
+    if let Some(fleet) = &fleet {
+        fleet.leave(&inputs);
+    }
     // After the handover to the next process, because this process may be killed during the wait.
     if !finish.close_within(&counters.mode, CLIENT_CLOSE_TIMEOUT) {
         eprintln!("draining: some clients have not closed their connections");
--- a/front/src/memory/exchanges.rs
+++ b/front/src/memory/exchanges.rs
@@ -131,6 +131,12 @@
 }
 
 impl Exchanges {
+    /// Whether no request and no attempt is open.
+    pub fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+
+    /// Whether no more may be opened.
     pub fn is_full(&self) -> bool {
         self.open.len() >= MAX_EXCHANGES
     }
--- a/front/tests/work.rs
+++ b/front/tests/work.rs
@@ -531,3 +531,26 @@
     fleet.wait_stage(leader, &own, &["in"]).unwrap();
     assert!(others.iter().all(|at| until(|| at_home(&fleet, *at) == 20)));
 }
+
+/// Guards against a machine that is released while a front that got SIGTERM still has requests open there.
+#[test]
+fn a_machine_waits_for_a_front_that_is_told_to_end() {
+    const ANSWER_TIME: Duration = Duration::from_millis(600);
+    let fleet = start(plan(3, 215, ""));
+    assert!((0..3).all(|f| until(|| fleet.stage(f, "c-0").is_some())), "every front has contact");
+    let leader = fleet.leader().unwrap();
+    let ends = (0..3).find(|f| *f != leader).unwrap();
+    fleet.nodes[0].set(Behaviour { delay: ANSWER_TIME, ..Behaviour::default() });
+    let load = load(&fleet, ends);
+    let asked = fleet.nodes[0].asked();
+    assert!(until(|| fleet.nodes[0].asked() > asked + 5));
+    done(&fleet, leader, &["out", "c-0"]);
+    fleet.wait_stage(leader, "c-0", &["leaving"]).unwrap();
+    fleet.front(ends).signal("TERM").unwrap();
+    fleet.wait_stage(leader, "c-0", &["released"]).unwrap();
+    let released_at = Instant::now();
+    let last = fleet.nodes[0].seen().iter().map(|seen| seen.at).max().unwrap();
+    let since_last = released_at - last;
+    assert!(since_last >= ANSWER_TIME, "released {since_last:?} after the last request was sent there");
+    load.stop();
+}
