Leave the fleet beside the wait for clients to close, within half a second

Each of the two steps of leaving could take 0.5 s, now that it comes after the last answer, before idle clients were closed: the platform's kill could come first. Both run side by side, and leaving ends after 0.5 s in all; a front that has not left counts as one that failed.

--- a/front/src/fleet/start.rs
+++ b/front/src/fleet/start.rs
@@ -2,6 +2,7 @@
 //! it.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
 use crossbeam_channel::{bounded, Sender};
@@ -64,8 +65,8 @@
     waker: Waker,
 }
 
-/// Maximum wait for each of the two steps of an orderly departure.
-const LEAVE_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(500);
+/// Maximum wait for an orderly departure. The platform kills the process soon after.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(500);
 
 impl Fleet {
     /// The process will end: another front leads from now on. Requests that are open still rest on this front's part.
@@ -76,17 +77,18 @@
     }
 
     /// Leaves the fleet in order: the engine stops spending leased quotas once nothing is open, then the node returns them
-    /// and leaves. Each step waits for at most [`LEAVE_TIMEOUT`]; a front that can't leave counts as one that failed.
+    /// and leaves. It waits for at most [`LEAVE_TIMEOUT`]; a front that can't leave counts as one that failed.
     pub fn leave(&self, inputs: &Sender<Input>) {
+        let deadline = Instant::now() + LEAVE_TIMEOUT;
         let (confirm, closed) = bounded(1);
         let close = crate::fleet_link::FleetUpdate::Close(confirm);
-        if inputs.send(Input::Fleet(close)).is_err() || closed.recv_timeout(LEAVE_TIMEOUT).is_err() {
+        if inputs.send(Input::Fleet(close)).is_err() || closed.recv_deadline(deadline).is_err() {
             return;
         }
         let (confirm, left) = bounded(1);
         if self.commands.send(RunnerCommand::Leave(confirm)).is_ok() {
             self.waker.wake();
-            let _ = left.recv_timeout(LEAVE_TIMEOUT);
+            let _ = left.recv_deadline(deadline);
         }
     }
 }
--- a/front/src/lifecycle/serve.rs
+++ b/front/src/lifecycle/serve.rs
@@ -153,14 +153,19 @@
     if let Some(second_front) = &second_front {
         second_front.seal_ledger();
     }
-    // Not earlier: machines and budgets that open requests rest on would be given to others.
-    if let Some(fleet) = &fleet {
-        fleet.leave(&inputs);
-    }
     // After the handover to the next process, because this process may be killed during the wait.
-    if !finish.close_within(&counters.mode, CLIENT_CLOSE_TIMEOUT) {
-        eprintln!("draining: some clients have not closed their connections");
-    }
+    std::thread::scope(|scope| {
+        // Not before the last answer: machines and budgets that open requests rest on would be given to others. Without a
+        // thread the fleet is not left, which is as if the process had failed.
+        let leave = || fleet.iter().for_each(|fleet| fleet.leave(&inputs));
+        let leaving = std::thread::Builder::new().name("fleet-leave".into()).spawn_scoped(scope, leave);
+        if let Err(error) = leaving {
+            eprintln!("fleet: not left: {error}");
+        }
+        if !finish.close_within(&counters.mode, CLIENT_CLOSE_TIMEOUT) {
+            eprintln!("draining: some clients have not closed their connections");
+        }
+    });
     let _ = inputs.send(Input::Stop);
     eprintln!("{counters}");
     eprintln!("stopped");
