Take signups only once clients of a process before have given up

Cause: the new process opened its ledger one longest deadline after it had the addresses; the old one admits requests for 0.65 s more, and had not sealed its own by then. Ruled out: a seal that is not used (there was none).

Change: the wait is the longest deadline after the old process admits no more, by the drain's schedule.

--- a/front/src/lifecycle/second_front.rs
+++ b/front/src/lifecycle/second_front.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::Sender;
+use elmtide_drain::DrainSchedule;
 
 use crate::client::resolver;
 use crate::edge::in_force::InForce;
@@ -120,9 +121,11 @@
 
     /// Opens the ledger once no client of an earlier process can still retry there.
     fn open_ledger(&self, longest_deadline_ms: f64, settled: Arc<OnceLock<Instant>>) -> Result<(), String> {
-        // The clients of the previous process give up after the longest deadline. If that process may leave a seal,
-        // wait long enough for it to do so: it keeps running for a while before it seals.
-        let closed = Duration::from_secs_f64(longest_deadline_ms / 1000.0);
+        // The previous process admits requests on open connections for a while after it has left its addresses, and their
+        // clients give up, and ask again no more, after the longest deadline. If that process may leave a seal, wait long
+        // enough for it to do so: it keeps running for a while before it seals.
+        let longest_deadline = Duration::from_secs_f64(longest_deadline_ms / 1000.0);
+        let closed = DrainSchedule::shutdown(longest_deadline).reject_after + longest_deadline;
         let closed = if self.handover.is_some() { closed.max(MIN_SHUTDOWN * 2) } else { closed };
         let (ledger, handover) = (self.ledger.clone(), self.handover.clone());
         let open =
--- a/front/tests/upgrade.rs
+++ b/front/tests/upgrade.rs
@@ -233,3 +233,40 @@
     assert_eq!(scene.shopper("done", DEADLINE).join().unwrap(), Some(200));
     assert_eq!(scene.asked("done"), 1);
 }
+
+/// A signup that the old process takes on an open connection after it has given its addresses up, as late as it takes any.
+const LATE_SIGNUP: Duration = Duration::from_millis(550);
+/// Longer than the new process has the addresses when the old one is still running it.
+const LATE_ANSWER: Duration = Duration::from_millis(2900);
+/// When its client asks again: within its deadline, which began with the first try.
+const ASKED_AGAIN: Duration = Duration::from_millis(3350);
+
+/// Guards against a new process that takes signups while the old one still runs some that it does not know of.
+#[test]
+fn a_signup_that_the_old_process_takes_late_does_not_run_in_the_new_one() {
+    let scene = Scene::new();
+    let start = || {
+        let folder = Folder::new().unwrap();
+        let settings =
+            SETTINGS.replace("\"HardLimitMs\":900", &format!("\"HardLimitMs\":{LONG_DEADLINE_MS}"));
+        std::fs::write(folder.0.join("settings.json"), settings).unwrap();
+        scene.start_in(folder)
+    };
+    let mut old = start();
+    old.log.wait("ledger: open", 0).unwrap();
+    scene.node.set(Behaviour { delay: LATE_ANSWER, ..Behaviour::default() });
+    let mut client = Http::connect(scene.http, PATIENCE).unwrap();
+    let new = start();
+    let ended_at = Instant::now();
+    old.signal("TERM").unwrap();
+    std::thread::sleep(LATE_SIGNUP.saturating_sub(ended_at.elapsed()));
+    client.send(&signup("late")).unwrap();
+    assert!(until(|| scene.asked("late") == 1), "the old process takes it");
+    // Its answer is lost.
+    drop(client);
+    std::thread::sleep(ASKED_AGAIN.saturating_sub(ended_at.elapsed()));
+    let told = scene.shopper("late", PATIENCE).join().unwrap();
+    assert!(until(|| old.has_ended()));
+    new.log.wait("ledger: taken over from the process before: 1 keys", 0).unwrap();
+    assert_eq!((scene.asked("late"), told), (1, Some(200)), "it ran once, and the new process knows how");
+}
