Keep who owned keys before a plan for the next process

Cause: the fronts before a plan, and until when they count, were kept in memory only. Ruled out: the ledger (it was taken over).

Change: they are written to $TMPDIR/elmtide-NAME.owners before a configuration comes into force, and read at the first one of the next process; a file with other fronts than the one that was in force begins a hand-over. Reading of files that processes leave to one another is in one place.

--- a/front/src/lifecycle/edge.rs
+++ b/front/src/lifecycle/edge.rs
@@ -24,6 +24,7 @@
 use crate::fleet::site_failover::SiteFailover;
 use crate::lifecycle::apply_error::ApplyError;
 use crate::lifecycle::cookie_secrets::{random, read_private, read_secrets, SecretSource};
+use crate::lifecycle::key_owners::KeyOwners;
 use crate::lifecycle::listen_address::Listens;
 use crate::lifecycle::peer_sockets::PeerSockets;
 use crate::memory::counters::Counters;
@@ -91,6 +92,7 @@
     counters: Arc<Counters>,
     /// Determines the hold time of a key after its handover, if the file does not set it.
     longest: Longest,
+    owners: Option<KeyOwners>,
 }
 
 fn seed() -> u64 {
@@ -117,7 +119,9 @@
             request_samples: Vec::new(),
             own: Condition::NotReady,
         };
+        let owners = KeyOwners::from_env(&name);
         Arc::new(Edge {
+            owners,
             name,
             in_force,
             listeners: Mutex::default(),
@@ -155,6 +159,7 @@
         let mut live = self.live();
         // Every step that can fail comes before the first change.
         let next = self.prepare(&live, &to)?;
+        self.keep_owners(&before, &next)?;
         let own = to.front.iter().find(|f| f.name == self.name).cloned().unwrap_or_default();
         let dns = own.dns.into_iter().map(Listens::Dns);
         let wanted: BTreeSet<Listens> = dns.chain(own.http.into_iter().map(Listens::Http)).collect();
@@ -188,15 +193,32 @@
         Ok(true)
     }
 
+    /// Keeps who owned keys before for the next process. A plan that can't be kept is not put in force; at the start the
+    /// file in force has to serve.
+    fn keep_owners(&self, before: &EdgeConfig, next: &Next) -> Result<(), String> {
+        let Some(owners) = &self.owners else { return Ok(()) };
+        match owners.save(&next.state.config, &next.state.former, clock::steady_ms()) {
+            Err(why) if before.is_off() => {
+                eprintln!("edge: the owners of keys are not kept for the next process: {why}");
+                Ok(())
+            }
+            kept => {
+                kept.map_err(|why| format!("the owners of keys can't be kept for the next process: {why}"))
+            }
+        }
+    }
+
     /// Prepares the next state; all steps that can fail are here.
     fn prepare(&self, live: &Live, to: &EdgeConfig) -> Result<Next, String> {
         let now = clock::steady_ms();
         let current = self.in_force.now();
         let config = Arc::new(to.clone());
-        let mut former: Vec<FormerFronts> =
-            current.former.iter().filter(|f| f.until > now).cloned().collect();
+        let hold = to.hand_over_s.map_or(self.longest.ms() * LIVES, |s| s * 1000.0);
+        let mut former: Vec<FormerFronts> = match (&self.owners, current.config.is_off()) {
+            (Some(owners), true) => owners.load(to, hold, now),
+            _ => current.former.iter().filter(|f| f.until > now).cloned().collect(),
+        };
         if !current.config.is_off() && current.config.front != to.front {
-            let hold = to.hand_over_s.map_or(self.longest.ms() * LIVES, |s| s * 1000.0);
             former.push(FormerFronts { config: current.config.clone(), until: now + hold });
             if former.len() > MAX_FORMER_CONFIGS {
                 return Err("the fronts change too often: keys are still changing hands".into());
--- a/front/src/lifecycle/handover.rs
+++ b/front/src/lifecycle/handover.rs
@@ -6,9 +6,9 @@
 //! accepted signups, no matter which process was killed or stopped at which step. This depends only on the lock and
 //! on rename, not on a clock or on detecting live processes.
 
-use std::fs::{self, File, OpenOptions, TryLockError};
-use std::io::{self, Read};
-use std::os::unix::fs::{MetadataExt, OpenOptionsExt};
+use std::fs::{File, OpenOptions, TryLockError};
+use std::io;
+use std::os::unix::fs::OpenOptionsExt;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -18,12 +18,11 @@
 
 use crate::memory::ledger::{Ledger, Sealed};
 use crate::process::clock::BootMoment;
+use crate::process::trusted_file::{self, ReadError};
 use crate::process::{clock, durable_file, is_file_name};
 
 /// The first bytes of the file: type and version.
 const MAGIC: &[u8; 18] = b"elmtide-signups 1\n";
-/// Length of the header: magic bytes and the checksum of the rest.
-const HEADER_BYTES: usize = MAGIC.len() + 4;
 const MAX_FILE_BYTES: u64 = 8 << 20;
 /// How long sealing waits for a lock that another process holds.
 const SEAL_LOCK_TIMEOUT: Duration = Duration::from_millis(200);
@@ -63,72 +62,19 @@
     }
 }
 
-/// Why the file has no usable record.
-#[derive(Debug)]
-enum ReadError {
-    Absent,
-    Io(io::Error),
-    /// Owned by another user, writable by others, or not a regular file.
-    Untrusted,
-    TooLong,
-    /// Truncated, of another version, or another kind of file.
-    Corrupt,
-}
-
-impl std::fmt::Display for ReadError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            ReadError::Absent => write!(f, "there is none"),
-            ReadError::Io(why) => write!(f, "{why}"),
-            ReadError::Untrusted => write!(f, "it is no file of ours, or others may write it"),
-            ReadError::TooLong => write!(f, "it is over {MAX_FILE_BYTES} bytes"),
-            ReadError::Corrupt => write!(f, "it is torn or of another version"),
-        }
-    }
-}
-
 fn encode(record: &HandoverRecord) -> Option<Vec<u8>> {
-    let mut bytes = [&MAGIC[..], &[0; 4]].concat();
-    bytes.extend(postcard::to_allocvec(record).ok()?);
-    let sum = crc32c::crc32c(&bytes[HEADER_BYTES..]);
-    bytes[MAGIC.len()..HEADER_BYTES].copy_from_slice(&sum.to_le_bytes());
+    let bytes = trusted_file::with_checksum(MAGIC, &postcard::to_allocvec(record).ok()?);
     (bytes.len() as u64 <= MAX_FILE_BYTES).then_some(bytes)
 }
 
 fn decode(bytes: &[u8]) -> Option<HandoverRecord> {
-    let (magic, rest) = bytes.split_at_checked(MAGIC.len())?;
-    let (sum, body) = rest.split_at_checked(4)?;
-    let whole = magic == MAGIC && crc32c::crc32c(body).to_le_bytes() == sum;
-    let (record, left) = postcard::take_from_bytes(body).ok().filter(|_| whole)?;
+    let body = trusted_file::checked_body(MAGIC, bytes)?;
+    let (record, left) = postcard::take_from_bytes(body).ok()?;
     left.is_empty().then_some(record)
 }
 
-/// The user of this process.
-fn own_user() -> io::Result<u32> {
-    Ok(fs::metadata("/proc/self")?.uid())
-}
-
 fn read(path: &Path) -> Result<HandoverRecord, ReadError> {
-    let named = match fs::symlink_metadata(path) {
-        Ok(named) => named,
-        Err(e) if e.kind() == io::ErrorKind::NotFound => return Err(ReadError::Absent),
-        Err(e) => return Err(ReadError::Io(e)),
-    };
-    let user = own_user().map_err(ReadError::Io)?;
-    if !named.is_file() || named.uid() != user || named.mode() & 0o022 != 0 {
-        return Err(ReadError::Untrusted);
-    }
-    if named.len() > MAX_FILE_BYTES {
-        return Err(ReadError::TooLong);
-    }
-    let file = File::open(path).map_err(ReadError::Io)?;
-    let opened = file.metadata().map_err(ReadError::Io)?;
-    if (opened.dev(), opened.ino()) != (named.dev(), named.ino()) {
-        return Err(ReadError::Untrusted);
-    }
-    let mut bytes = Vec::new();
-    file.take(MAX_FILE_BYTES + 1).read_to_end(&mut bytes).map_err(ReadError::Io)?;
-    decode(&bytes).ok_or(ReadError::Corrupt)
+    decode(&trusted_file::read(path, MAX_FILE_BYTES)?).ok_or(ReadError::Corrupt)
 }
 
 /// How the ledger was opened.
--- a/front/src/lifecycle/handover/tests.rs
+++ b/front/src/lifecycle/handover/tests.rs
@@ -1,3 +1,4 @@
+use std::fs;
 use std::os::unix::fs::PermissionsExt;
 
 use proptest::prelude::*;
--- a/front/src/lifecycle/mod.rs
+++ b/front/src/lifecycle/mod.rs
@@ -8,6 +8,7 @@
 pub mod cookie_secrets;
 pub mod edge;
 pub mod handover;
+pub mod key_owners;
 pub mod listen_address;
 pub mod listener;
 pub mod peer_sockets;
--- a/front/src/process/mod.rs
+++ b/front/src/process/mod.rs
@@ -11,6 +11,7 @@
 pub mod start_gate;
 pub mod system_drops;
 pub mod transient;
+pub mod trusted_file;
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
--- a/front/tests/upgrade.rs
+++ b/front/tests/upgrade.rs
@@ -270,3 +270,41 @@
     new.log.wait("ledger: taken over from the process before: 1 keys", 0).unwrap();
     assert_eq!((scene.asked("late"), told), (1, Some(200)), "it ran once, and the new process knows how");
 }
+
+/// A front that is listed and does not run.
+const OTHER_FRONT: &str = "[[front]]\nname = \"n9\"\nhttp = [\"127.0.0.9:9\"]\n";
+const TAKES_KEYS_AFTER: &str = "hand_over_s = 30.0\n";
+
+/// Guards against a process that replaces a key's new owner and does not know of the hand-over that a plan began: the former
+/// owner may still run the signup.
+#[test]
+fn a_hand_over_of_keys_goes_on_in_the_next_process() {
+    let mut scene = Scene::new();
+    let alone = format!("{TAKES_KEYS_AFTER}{}", scene.edge);
+    scene.edge = format!("{alone}{OTHER_FRONT}");
+    let mut old = scene.start();
+    old.log.wait("ledger: open", 0).unwrap();
+    let at = scene.http;
+    let ask = |key: &str| {
+        let mut http = Http::connect(at, PATIENCE).unwrap();
+        http.send(&signup(key)).unwrap();
+        http.reply().unwrap().status
+    };
+    let keys: Vec<String> = (0..40).map(|n| format!("key-{n}")).collect();
+    let others: Vec<&String> = keys.iter().filter(|key| ask(key) == 421).collect();
+    assert!(!others.is_empty(), "none of the keys is the other front's");
+    // The plan takes the other front out.
+    std::fs::write(old.folder.0.join("edge.toml"), &alone).unwrap();
+    let control = scene.handed.folder.0.join("elmtide-n1.sock").display().to_string();
+    let plan = ["plan", "--edge", "edge.toml", "--control", &control, "--out", "p.json"];
+    old.run(&plan).unwrap();
+    assert_eq!(old.run(&["apply", "--control", &control, "p.json"]).unwrap().0, Some(0));
+    assert!(others.iter().all(|key| ask(key) == 503), "they change hands");
+    scene.edge = alone;
+    let new = scene.start();
+    old.signal("TERM").unwrap();
+    assert!(until(|| old.has_ended()));
+    new.log.wait("ledger: taken over from the process before", 0).unwrap();
+    assert!(others.iter().all(|key| ask(key) == 503), "they still do");
+    assert!(others.iter().all(|key| scene.asked(key) == 0), "nothing ran");
+}
