--- a/front/src/engine/tests.rs
+++ b/front/src/engine/tests.rs
@@ -162,12 +162,22 @@
     assert!(engine.routers.len() <= routers::MAX_ROUTERS);
 }
 
-/// An upstream that records the maximum age of each attempt sent.
-struct RecordingUpstream(Arc<Mutex<Vec<Option<Ms>>>>);
+/// An attempt that was sent.
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    key: AttemptKey,
+    server: MemberId,
+    max_age: Option<Ms>,
+}
+
+/// An upstream that records what is sent.
+#[derive(Clone, Default)]
+struct Recorder(Arc<Mutex<Vec<Sent>>>);
 
-impl Upstream for RecordingUpstream {
+impl Upstream for Recorder {
     fn send(&mut self, order: &AttemptOrder) -> Result<(), SendError> {
-        self.0.lock().unwrap().push(order.max_age);
+        let sent = Sent { key: order.key, server: order.cache, max_age: order.max_age };
+        self.0.lock().unwrap().push(sent);
         Ok(())
     }
     fn attempt_ended(&mut self, _: AttemptKey) {}
@@ -198,8 +208,8 @@
     let class = ClassSettings { target_latency: 100.0, deadline: 2000.0, ..ClassSettings::default() };
     let origin = Some(elmtide::KindId(2));
     let settings = Settings { classes: vec![class], origin_kind: origin, ..Settings::default() };
-    let sent = Arc::new(Mutex::new(Vec::new()));
-    let engine = Engine::new(settings.clone(), 1, RecordingUpstream(sent.clone()), Arc::default());
+    let sent = Recorder::default();
+    let engine = Engine::new(settings.clone(), 1, sent.clone(), Arc::default());
     let mut engine = engine.with_class_names(vec!["a".into()]);
     let (member, weight, zone, kind) = (MemberId(1), 1.0, Default::default(), Default::default());
     let (cell, started_at, availability) = (Default::default(), None, Availability::Ready);
@@ -250,7 +260,7 @@
         };
         engine.handle(Input::Request(incoming));
     }
-    let sent = sent.lock().unwrap().clone();
+    let sent: Vec<Option<Ms>> = sent.0.lock().unwrap().iter().map(|sent| sent.max_age).collect();
     assert_eq!(sent.len(), 2, "{sent:?}");
     assert!(sent[0].is_some(), "the purged object is asked for with an age cap: {sent:?}");
     assert_eq!(sent[1], None, "another object is not: {sent:?}");
--- a/front/src/engine/tests/router_knowledge.rs
+++ b/front/src/engine/tests/router_knowledge.rs
@@ -127,45 +127,6 @@
     Knowledge::ProcessShare,
 ];
 
-/// An attempt that was sent.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Sent {
-    pub(super) key: AttemptKey,
-    server: MemberId,
-    max_age: Option<Ms>,
-}
-
-/// An upstream that records what is sent.
-#[derive(Clone, Default)]
-pub(super) struct Recorder(Arc<Mutex<Vec<Sent>>>);
-
-impl Upstream for Recorder {
-    fn send(&mut self, order: &AttemptOrder) -> Result<(), SendError> {
-        let sent = Sent { key: order.key, server: order.cache, max_age: order.max_age };
-        self.0.lock().unwrap().push(sent);
-        Ok(())
-    }
-    fn attempt_ended(&mut self, _: AttemptKey) {}
-    fn abandon(&mut self, _: AttemptKey) -> Option<Progress> {
-        None
-    }
-    fn withdraw(&mut self, _: AttemptKey) -> bool {
-        false
-    }
-    fn withdraw_from(&mut self, _: &dyn Fn(MemberId) -> bool) -> Vec<AttemptKey> {
-        Vec::new()
-    }
-    fn may_have_run(&self, _: AttemptKey) -> bool {
-        true
-    }
-    fn probe(&mut self, _: MemberId) -> Result<(), SendError> {
-        Ok(())
-    }
-    fn update_members(&mut self, _: &MembersUpdate) {}
-    fn check_connections(&mut self) {}
-    fn close_idle(&mut self) {}
-}
-
 fn settings() -> Settings {
     let class = ClassSettings { target_latency: WORK_MS, deadline: 60_000.0, ..ClassSettings::default() };
     Settings {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -140,3 +140,13 @@
 pub fn final_answers(actions: &[Action]) -> usize {
     actions.iter().filter(|a| matches!(a, Action::Refuse { .. } | Action::Fail { .. })).count()
 }
+
+/// A small generator, so that a seed gives the same run on every machine.
+pub struct Random(pub u64);
+
+impl Random {
+    pub fn next(&mut self, below: u64) -> u64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % below
+    }
+}
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -1,20 +1,13 @@
 //! Decisions of a front without a fleet: byte for byte those from before parts of budgets could be lent.
 
+mod common;
+
+use common::Random;
 use elmtide::{
     Action, Availability, ClassId, ClassSettings, Event, KindId, ListUpdate, Listing, MemberId, Note,
     ObjectId, Outcome, PurgeGroup, Repeat, Request, RequestId, Router, Settings, Try, WeightMeaning, ZoneId,
 };
 
-/// A linear congruential generator.
-struct Random(u64);
-
-impl Random {
-    fn below(&mut self, bound: u64) -> u64 {
-        self.0 = self.0.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
-        (self.0 >> 33) % bound
-    }
-}
-
 fn settings() -> Settings {
     let class = |deadline, repeat, write| ClassSettings {
         target_latency: deadline / 4.0,
@@ -56,12 +49,12 @@
     let (mut hash, mut next_id, mut in_flight, mut timers) =
         (0xcbf2_9ce4_8422_2325u64, 1u32, Vec::new(), Vec::new());
     for step in 0..4000u64 {
-        now += random.below(40) as f64;
-        let event = match random.below(20) {
+        now += random.next(40) as f64;
+        let event = match random.next(20) {
             0 if step % 7 == 0 => {
                 let entry = |n: u64, random: &mut Random| Listing {
                     member: MemberId(n),
-                    weight: 4.0 + random.below(4) as f64,
+                    weight: 4.0 + random.next(4) as f64,
                     zone: ZoneId(0),
                     kind: KindId(if n < 6 {
                         0
@@ -71,8 +64,8 @@
                         2
                     }),
                     cell: Default::default(),
-                    started_at: (random.below(3) == 0).then_some(now - random.below(9000) as f64),
-                    availability: if random.below(8) == 0 {
+                    started_at: (random.next(3) == 0).then_some(now - random.next(9000) as f64),
+                    availability: if random.next(8) == 0 {
                         Availability::Draining
                     } else {
                         Availability::Ready
@@ -81,23 +74,23 @@
                 let entries = (1..=9).map(|n| entry(n, &mut random)).collect();
                 Event::List { update: ListUpdate::Full, entries }
             }
-            1 => Event::Purged { object: Some(ObjectId(random.below(40))), group: PurgeGroup(0), ago: 5.0 },
+            1 => Event::Purged { object: Some(ObjectId(random.next(40))), group: PurgeGroup(0), ago: 5.0 },
             2..=10 => {
                 let id = RequestId(next_id);
                 next_id += 1;
                 Event::Request(Request {
                     id,
-                    class: ClassId(u16::from(random.below(8) == 0)),
-                    object: ObjectId(random.below(40)),
-                    part: random.below(3) as u32,
+                    class: ClassId(u16::from(random.next(8) == 0)),
+                    object: ObjectId(random.next(40)),
+                    part: random.next(3) as u32,
                     group: PurgeGroup(0),
                     time_left: 2000.0,
-                    size_kb: Some(20.0 + random.below(400) as f64),
+                    size_kb: Some(20.0 + random.next(400) as f64),
                     write: false,
                 })
             }
             11..=17 if !in_flight.is_empty() => {
-                let (id, attempt) = in_flight.swap_remove(random.below(in_flight.len() as u64) as usize);
+                let (id, attempt) = in_flight.swap_remove(random.next(in_flight.len() as u64) as usize);
                 let outcomes = [
                     Outcome::Ok,
                     Outcome::Ok,
@@ -108,15 +101,15 @@
                     Outcome::Reset,
                     Outcome::Miss,
                 ];
-                let outcome = outcomes[random.below(8) as usize];
+                let outcome = outcomes[random.next(8) as usize];
                 let notes =
                     [Note::Absent, Note::Hit, Note::FilledByOrigin, Note::SourceLost, Note::OriginFailed];
-                let note = notes[random.below(5) as usize];
-                let latency = 5.0 + random.below(900) as f64;
+                let note = notes[random.next(5) as usize];
+                let latency = 5.0 + random.next(900) as f64;
                 Event::Reply { id, attempt, outcome, latency, settled: outcome == Outcome::Ok, note }
             }
             _ if !timers.is_empty() => {
-                let token = timers.swap_remove(random.below(timers.len() as u64) as usize);
+                let token = timers.swap_remove(random.next(timers.len() as u64) as usize);
                 Event::Timer { token }
             }
             _ => continue,
--- a/tests/process_share.rs
+++ b/tests/process_share.rs
@@ -11,16 +11,6 @@
 const WORK_MS: Ms = 100.0;
 const SEEDS: u64 = 300;
 
-/// A small generator, so that a seed gives the same run on every machine.
-struct Random(u64);
-
-impl Random {
-    fn next(&mut self, below: u64) -> u64 {
-        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        (self.0 >> 33) % below
-    }
-}
-
 /// A process of the front: it runs from its registration to its end, and may be stopped in between.
 struct Process {
     router: Router,
--- a/tests/purges.rs
+++ b/tests/purges.rs
@@ -1,23 +1,16 @@
 //! The log of purges, over drawn purges in simulated time: it may refuse more than was purged, and never less.
 
+mod common;
+
 use std::collections::BTreeMap;
 
+use common::Random;
 use elmtide::*;
 
 const PURGE_DURATION_MS: Ms = 6000.0;
 const SEEDS: u64 = 100;
 const STEPS: u64 = 12_000;
 
-/// A small generator, so that a seed gives the same run on every machine.
-struct Random(u64);
-
-impl Random {
-    fn next(&mut self, below: u64) -> u64 {
-        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        (self.0 >> 33) % below
-    }
-}
-
 fn log() -> PurgeLog {
     PurgeLog::new(&Settings { purge_duration: Some(PURGE_DURATION_MS), ..Settings::default() })
 }
--- a/tests/server_histories.rs
+++ b/tests/server_histories.rs
@@ -14,16 +14,6 @@
 const STEP_MS: Ms = 0.5;
 const STEPS: u32 = 14_000;
 
-/// A small generator, so that a seed gives the same run on every machine.
-struct Random(u64);
-
-impl Random {
-    fn next(&mut self, below: u64) -> u64 {
-        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        (self.0 >> 33) % below
-    }
-}
-
 /// The process: the router that takes requests is the last.
 struct Process {
     routers: Vec<Router>,
