Start no thread for leaving where there is no fleet

A process without a fleet started a thread at its end that did nothing, and said that the fleet was not left where the thread could not be started. Ruled out: leaving on the main thread (clients would be closed late). front builds; work and fleet tests run with the landing.

--- a/front/src/lifecycle/serve.rs
+++ b/front/src/lifecycle/serve.rs
@@ -157,10 +157,11 @@
     std::thread::scope(|scope| {
         // Not before the last answer: machines and budgets that open requests rest on would be given to others. Without a
         // thread the fleet is not left, which is as if the process had failed.
-        let leave = || fleet.iter().for_each(|fleet| fleet.leave(&inputs));
-        let leaving = std::thread::Builder::new().name("fleet-leave".into()).spawn_scoped(scope, leave);
-        if let Err(error) = leaving {
-            eprintln!("fleet: not left: {error}");
+        if let Some(fleet) = &fleet {
+            let thread = std::thread::Builder::new().name("fleet-leave".into());
+            if let Err(error) = thread.spawn_scoped(scope, || fleet.leave(&inputs)) {
+                eprintln!("fleet: not left: {error}");
+            }
         }
         if !finish.close_within(&counters.mode, CLIENT_CLOSE_TIMEOUT) {
             eprintln!("draining: some clients have not closed their connections");
